--- /dev/null
+++ b/backend-servers/src/lib.rs
@@ -0,0 +1,1 @@
+//! Datagram socket, health and load polling towards backend servers.
--- /dev/null
+++ b/callers/src/lib.rs
@@ -0,0 +1,1 @@
+//! UDP socket towards callers.
--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operator command line of lovagespindle.
+
+fn main() {}
--- /dev/null
+++ b/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The lovagespindle daemon.
--- /dev/null
+++ b/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The lovagespindle daemon.
+
+fn main() {}
--- /dev/null
+++ b/datagram/src/lib.rs
@@ -0,0 +1,1 @@
+//! Datagram codec shared by callers, instances and backend servers.
--- /dev/null
+++ b/decisions/src/ids.rs
@@ -0,0 +1,61 @@
+//! Identifiers that mean the same at every instance.
+
+macro_rules! id {
+    ($(#[$doc:meta])* $name:ident($inner:ty)) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+        pub struct $name(pub $inner);
+
+        impl std::fmt::Display for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+    };
+}
+
+id! {
+    /// Identifies a service; assigned by the configuration and never reused.
+    ServiceId(u32)
+}
+
+id! {
+    /// Identifies an availability zone; assigned by the configuration and never reused.
+    ZoneId(u32)
+}
+
+id! {
+    /// Identifies a pool; assigned by the configuration and never reused.
+    PoolId(u32)
+}
+
+id! {
+    /// Identifies a backend server; assigned by the configuration and never reused.
+    BackendServerId(u32)
+}
+
+id! {
+    /// Identifies one run of an instance; drawn at random when the process starts, so that a
+    /// restarted instance is a new member.
+    InstanceId(u64)
+}
+
+id! {
+    /// Identifies a flow: a hash of caller address, service address and the fabric's unique id.
+    FlowId(u128)
+}
+
+id! {
+    /// Identifies a request within its flow; chosen by the caller.
+    RequestId(u64)
+}
+
+id! {
+    /// Numbers the configurations, from 0 for the empty one.
+    Revision(u64)
+}
+
+id! {
+    /// Identifies an operator's change, so that a repeated call is applied once.
+    OperationId(u128)
+}
--- /dev/null
+++ b/decisions/src/lib.rs
@@ -0,0 +1,17 @@
+//! Decisions of the lovagespindle load balancer, without sockets or encodings.
+//!
+//! [`Event`]s go in and [`Action`]s come out. The daemon drives this package with sockets and the
+//! system clock; tests drive it with virtual time.
+
+pub mod action;
+pub mod config;
+pub mod event;
+pub mod ids;
+pub mod occurrence;
+pub mod packet;
+pub mod peer;
+pub mod time;
+
+pub use action::Action;
+pub use event::Event;
+pub use time::Time;
--- /dev/null
+++ b/instances/src/lib.rs
@@ -0,0 +1,1 @@
+//! Links between instances.
--- /dev/null
+++ b/operators/src/lib.rs
@@ -0,0 +1,1 @@
+//! Remote procedure calls for operators.
--- /dev/null
+++ b/stand-ins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for fabric, callers, backend servers and the platform.
