--- a/decisions/src/lib.rs
+++ b/decisions/src/lib.rs
@@ -5,13 +5,17 @@
 
 pub mod action;
 pub mod config;
+pub mod counter;
 pub mod event;
 pub mod ids;
+pub mod instance;
 pub mod occurrence;
 pub mod packet;
 pub mod peer;
+pub mod status;
 pub mod time;
 
 pub use action::Action;
 pub use event::Event;
+pub use instance::Instance;
 pub use time::Time;
