Apply records to the configuration and index its lookups

Instances need the same identifiers from the same log, lookups that do not walk 100,000 backend servers, and records that apply as a whole or not at all. A record is first planned over the present tables and then written, so the cost grows with the record. Records hold at most 256 changes, so that one fits into a 64 KiB frame. Random record sequences keep the indexes equal to a rebuild.

--- a/decisions/src/config.rs
+++ b/decisions/src/config.rs
@@ -1,9 +1,13 @@
 //! The operators' configuration: services, pools, availability zones and backend servers.
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
+};
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::config_index::Index;
 use crate::ids::{
     BackendServerId,
     OperationId,
@@ -81,7 +85,7 @@
     pub name: String,
     /// The address that callers use. Unique among services.
     pub address: SocketAddr,
-    /// How long a flow without packets is kept.
+    /// How long a flow without packets is kept; above zero.
     pub idle: Duration,
 }
 
@@ -211,14 +215,20 @@
     pub revision: Revision,
     /// The operator's call, for idempotence.
     pub operation: OperationId,
-    /// Applied in order, all or none.
+    /// Applied in order, all or none; at most [`MAX_CHANGES`].
     pub changes: Vec<Change>,
 }
 
+/// The most changes in one record. A change takes at most 230 bytes when encoded, so that a record
+/// fits into one 64 KiB frame between instances.
+pub const MAX_CHANGES: usize = 256;
+
 /// How many operations a configuration remembers for idempotent calls.
 pub const REMEMBERED_OPERATIONS: usize = 1024;
 
 /// The whole configuration at one revision.
+///
+/// It is changed by [`Configuration::apply`] only, which keeps the lookups in step.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Configuration {
     /// Only rises.
@@ -234,5 +244,7 @@
     /// The backend servers.
     pub servers: BTreeMap<BackendServerId, BackendServer>,
     /// The latest operations in order of revision; at most [`REMEMBERED_OPERATIONS`].
-    pub operations: std::collections::VecDeque<(OperationId, Revision)>,
+    pub operations: VecDeque<(OperationId, Revision)>,
+    /// Derived from the fields above.
+    pub(crate) index: Index,
 }
--- /dev/null
+++ b/decisions/src/config_apply.rs
@@ -0,0 +1,110 @@
+//! Applies records to the configuration.
+
+use std::collections::BTreeMap;
+
+use crate::config::{
+    Configuration,
+    MAX_CHANGES,
+    REMEMBERED_OPERATIONS,
+    Record, //
+};
+use crate::config_error::ConfigError;
+use crate::config_overlay::Rows;
+use crate::config_plan::{
+    Plan,
+    Writes, //
+};
+use crate::ids::{
+    OperationId,
+    Revision, //
+};
+
+impl Configuration {
+    /// Checks whether a record can be applied.
+    pub fn check(&self, record: &Record) -> Result<(), ConfigError> {
+        self.plan(record).map(drop)
+    }
+
+    /// Applies a record, all of it or nothing. The cost grows with the record, not with the
+    /// configuration.
+    pub fn apply(&mut self, record: &Record) -> Result<(), ConfigError> {
+        let writes = self.plan(record)?;
+        self.write(writes);
+        self.revision = record.revision;
+        self.remember(record.operation, record.revision);
+        Ok(())
+    }
+
+    fn plan(&self, record: &Record) -> Result<Writes, ConfigError> {
+        if let Some(revision) = self.operation(record.operation) {
+            return Err(ConfigError::Repeated {
+                operation: record.operation,
+                revision,
+            });
+        }
+        if self.revision.0.checked_add(1) != Some(record.revision.0) {
+            return Err(ConfigError::Revision {
+                asked: record.revision,
+                present: self.revision,
+            });
+        }
+        if record.changes.len() > MAX_CHANGES {
+            return Err(ConfigError::TooMany {
+                count: record.changes.len(),
+                max: MAX_CHANGES,
+            });
+        }
+        let mut plan = Plan::new(self);
+        for change in &record.changes {
+            plan.add(change)?;
+        }
+        Ok(plan.into_writes())
+    }
+
+    /// Writes rows; all old ones leave the index first because names and addresses may swap.
+    fn write(&mut self, writes: Writes) {
+        let index = &mut self.index;
+        take(&mut self.zones, &writes.zones, |z| index.remove_zone(z));
+        take(&mut self.services, &writes.services, |s| {
+            index.remove_service(s)
+        });
+        take(&mut self.pools, &writes.pools, |p| index.remove_pool(p));
+        take(&mut self.servers, &writes.servers, |s| {
+            index.remove_server(s)
+        });
+        put(&mut self.zones, writes.zones, |z| index.add_zone(z));
+        put(&mut self.services, writes.services, |s| {
+            index.add_service(s)
+        });
+        put(&mut self.pools, writes.pools, |p| index.add_pool(p));
+        put(&mut self.servers, writes.servers, |s| index.add_server(s));
+        self.next_id = writes.next_id;
+    }
+
+    pub(crate) fn remember(&mut self, operation: OperationId, revision: Revision) {
+        self.operations.push_back((operation, revision));
+        self.index.operations.insert(operation, revision);
+        if self.operations.len() > REMEMBERED_OPERATIONS
+            && let Some((oldest, _)) = self.operations.pop_front()
+        {
+            self.index.operations.remove(&oldest);
+        }
+    }
+}
+
+fn take<K: Ord, V>(table: &mut BTreeMap<K, V>, rows: &Rows<K, V>, mut unindex: impl FnMut(&V)) {
+    for id in rows.keys() {
+        if let Some(old) = table.remove(id) {
+            unindex(&old);
+        }
+    }
+}
+
+fn put<K: Ord, V>(table: &mut BTreeMap<K, V>, rows: Rows<K, V>, mut index: impl FnMut(&V)) {
+    for (id, row) in rows {
+        if let Some(row) = row {
+            index(&row);
+            table.insert(id, row);
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/config_overlay.rs
@@ -0,0 +1,56 @@
+//! Rows that a record changes, over the rows of the configuration.
+
+use std::collections::BTreeMap;
+
+use rustc_hash::FxHashMap;
+
+/// Rows to write; none deletes the row.
+pub(crate) type Rows<K, V> = BTreeMap<K, Option<V>>;
+
+/// One table of the configuration as it would be after the changes so far.
+pub(crate) struct Overlay<'a, K, V> {
+    base: &'a BTreeMap<K, V>,
+    names: &'a FxHashMap<String, K>,
+    rows: Rows<K, V>,
+    /// Names given or, with none, freed by the changes so far.
+    renamed: FxHashMap<String, Option<K>>,
+}
+
+impl<'a, K: Copy + Ord, V> Overlay<'a, K, V> {
+    pub(crate) fn new(base: &'a BTreeMap<K, V>, names: &'a FxHashMap<String, K>) -> Self {
+        Overlay {
+            base,
+            names,
+            rows: Rows::new(),
+            renamed: FxHashMap::default(),
+        }
+    }
+
+    pub(crate) fn get(&self, id: K) -> Option<&V> {
+        match self.rows.get(&id) {
+            Some(row) => row.as_ref(),
+            None => self.base.get(&id),
+        }
+    }
+
+    pub(crate) fn find(&self, name: &str) -> Option<&V> {
+        match self.renamed.get(name) {
+            Some(id) => self.get((*id)?),
+            None => self.get(*self.names.get(name)?),
+        }
+    }
+
+    pub(crate) fn put(&mut self, id: K, name: &str, row: V) {
+        self.rows.insert(id, Some(row));
+        self.renamed.insert(name.to_owned(), Some(id));
+    }
+
+    pub(crate) fn remove(&mut self, id: K, name: &str) {
+        self.rows.insert(id, None);
+        self.renamed.insert(name.to_owned(), None);
+    }
+
+    pub(crate) fn into_rows(self) -> Rows<K, V> {
+        self.rows
+    }
+}
--- a/decisions/src/lib.rs
+++ b/decisions/src/lib.rs
@@ -5,6 +5,14 @@
 
 pub mod action;
 pub mod config;
+mod config_apply;
+mod config_check;
+pub mod config_error;
+mod config_index;
+mod config_lookup;
+mod config_overlay;
+mod config_plan;
+pub mod config_restore;
 pub mod counter;
 pub mod event;
 pub mod ids;
