Add membership by heartbeats and gossip

Owners need to know which instances of the region live, and which heartbeats were acknowledged, before they can take part in leases. Heartbeats and their acknowledgements gain a digest of the sender's zone, by which members that missed gossip are found and pulled.

--- /dev/null
+++ b/decisions/src/contact.rs
@@ -0,0 +1,91 @@
+//! Contacts in the other zones of the region.
+
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use crate::ids::{
+    InstanceId,
+    ZoneId, //
+};
+use crate::time::Time;
+
+/// How many contacts are tried at once when the only one goes silent.
+pub(crate) const MAX_CONTACTS: usize = 3;
+
+/// The contacts of this instance in one zone.
+#[derive(Debug)]
+pub(crate) struct Contacts {
+    /// The zone; the own zone has an entry too, without contacts.
+    pub(crate) zone: ZoneId,
+    /// One while it answers, up to [`MAX_CONTACTS`] while none does.
+    pub(crate) ids: SmallVec<[InstanceId; MAX_CONTACTS]>,
+    /// False from the failure of all contacts until a member of the zone is heard.
+    pub(crate) reachable: bool,
+    /// When the next attempt on an unreachable zone is due.
+    pub(crate) retry: Time,
+    /// The time between attempts; rises up to its bound while the zone is unreachable.
+    interval: Duration,
+    /// Since when the digests differ.
+    differs: Option<Time>,
+    /// When the members were last pulled.
+    pulled: Option<Time>,
+}
+
+impl Contacts {
+    pub(crate) fn new(zone: ZoneId) -> Contacts {
+        Contacts {
+            zone,
+            ids: SmallVec::new(),
+            reachable: true,
+            retry: Time::ZERO,
+            interval: Duration::ZERO,
+            differs: None,
+            pulled: None,
+        }
+    }
+
+    /// Notes that all contacts failed, or that an attempt on an unreachable zone did.
+    pub(crate) fn fail(&mut self, now: Time, first: Duration, most: Duration) {
+        self.interval = if self.reachable {
+            first
+        } else {
+            (self.interval * 2).clamp(first, most)
+        };
+        self.reachable = false;
+        self.retry = now + self.interval;
+        self.ids.clear();
+    }
+
+    /// Notes that a member of the zone was heard and returns whether the zone came back by that.
+    pub(crate) fn heard(&mut self) -> bool {
+        let back = !self.reachable;
+        self.reachable = true;
+        if back {
+            self.pulled = None;
+        }
+        back
+    }
+
+    /// Compares digests and returns whether the members have to be pulled: when they differ for
+    /// `settle`, which gossip needs to spread news, or at once on the first contact.
+    pub(crate) fn pull(
+        &mut self,
+        now: Time,
+        equal: bool,
+        settle: Duration,
+        pause: Duration,
+    ) -> bool {
+        if equal {
+            self.differs = None;
+            return false;
+        }
+        let since = *self.differs.get_or_insert(now);
+        let paused = self.pulled.is_some_and(|p| now.since(p) < pause);
+        if paused || !(self.pulled.is_none() || now.since(since) >= settle) {
+            return false;
+        }
+        self.pulled = Some(now);
+        true
+    }
+}
--- /dev/null
+++ b/decisions/src/gossip.rs
@@ -0,0 +1,42 @@
+//! Epidemic spreading of membership updates, piggybacked on heartbeats.
+
+use std::collections::VecDeque;
+
+use crate::ids::InstanceId;
+
+/// Members whose updates still have to be spread.
+///
+/// Each update is passed on a number of times that grows with the logarithm of the members, which
+/// reaches all of them with high probability; the digests in heartbeats repair the rest.
+#[derive(Debug, Default)]
+pub(crate) struct Gossip {
+    /// The next to send first, with how often it was sent. Each member occurs once.
+    queue: VecDeque<(InstanceId, u32)>,
+}
+
+impl Gossip {
+    /// Spreads the update of `id` from now on.
+    pub(crate) fn add(&mut self, id: InstanceId) {
+        self.queue.retain(|q| q.0 != id);
+        self.queue.push_front((id, 0));
+    }
+
+    /// Returns up to `most` members whose updates go into the next message. `members` is the
+    /// number of members that have to be reached.
+    pub(crate) fn take(&mut self, most: usize, members: usize) -> Vec<InstanceId> {
+        let budget = budget(members);
+        let n = most.min(self.queue.len());
+        let taken: Vec<_> = self.queue.drain(..n).collect();
+        for &(id, sent) in &taken {
+            if sent + 1 < budget {
+                self.queue.push_back((id, sent + 1));
+            }
+        }
+        taken.into_iter().map(|t| t.0).collect()
+    }
+}
+
+/// Returns how often one instance passes an update on: 4 log2 of the members.
+fn budget(members: usize) -> u32 {
+    4 * (usize::BITS - members.leading_zeros()).max(1)
+}
--- a/decisions/src/lib.rs
+++ b/decisions/src/lib.rs
@@ -4,16 +4,23 @@
 //! system clock; tests drive it with virtual time.
 
 pub mod action;
+mod answering;
 pub mod config;
+mod contact;
 pub mod counter;
 pub mod event;
+mod gossip;
+mod heartbeat;
 pub mod ids;
 pub mod instance;
+mod members;
+pub mod membership;
 pub mod occurrence;
 pub mod packet;
 pub mod peer;
 pub mod status;
 pub mod time;
+mod watching;
 
 pub use action::Action;
 pub use event::Event;
--- /dev/null
+++ b/decisions/src/members.rs
@@ -0,0 +1,366 @@
+//! The table of members of the region.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use rustc_hash::FxHashMap;
+use slotmap::{
+    SlotMap,
+    new_key_type, //
+};
+
+use crate::heartbeat::Watch;
+use crate::ids::{
+    InstanceId,
+    Revision,
+    ZoneId, //
+};
+use crate::occurrence::Occurrence;
+use crate::peer::{
+    MemberState,
+    MemberUpdate, //
+};
+use crate::time::Time;
+
+new_key_type! {
+    /// A member in the table.
+    pub(crate) struct MemberKey;
+}
+
+/// What is known of one member.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    /// The latest update.
+    pub(crate) update: MemberUpdate,
+    /// When a message or a probe reply of it last arrived.
+    pub(crate) heard: Option<Time>,
+    /// When the latest heartbeat that it acknowledged was sent to it.
+    pub(crate) acked: Option<Time>,
+    /// When a heartbeat of it was last acknowledged.
+    pub(crate) granted: Option<Time>,
+    /// Its configuration, as it said last.
+    pub(crate) revision: Revision,
+    /// Set while its zone came back and did not mention it yet; it does not count as live.
+    pub(crate) doubtful: bool,
+    /// Present while heartbeats go to it.
+    pub(crate) watch: Option<Watch>,
+}
+
+/// The members of one zone.
+#[derive(Debug)]
+pub(crate) struct ZoneMembers {
+    zone: ZoneId,
+    /// `Live` members, sorted.
+    live: Vec<InstanceId>,
+    /// `Live` and `Leaving` members, sorted.
+    present: Vec<InstanceId>,
+    /// Sum of the hashes of all present members; equal at two instances that agree.
+    digest: u64,
+}
+
+/// The members of the region.
+#[derive(Debug)]
+pub(crate) struct Members {
+    arena: SlotMap<MemberKey, Entry>,
+    index: FxHashMap<InstanceId, MemberKey>,
+    /// The zones of the region, the own one first.
+    zones: Vec<ZoneMembers>,
+    /// Dead and doubtful members and when they became so; oldest first. A member that came back
+    /// is skipped.
+    gone: VecDeque<(Time, MemberKey)>,
+    generation: u64,
+    /// Changes of state that are not on the time line yet.
+    pub(crate) notes: Vec<Occurrence>,
+}
+
+impl Members {
+    /// Creates a table that contains `me`.
+    pub(crate) fn new(me: MemberUpdate) -> Members {
+        let mut members = Members {
+            arena: SlotMap::with_key(),
+            index: FxHashMap::default(),
+            zones: vec![ZoneMembers::new(me.member.zone)],
+            gone: VecDeque::new(),
+            generation: 0,
+            notes: Vec::new(),
+        };
+        members.merge(Time::ZERO, me);
+        members.notes.clear();
+        members
+    }
+
+    /// Sets the zones of the region; members of other zones are forgotten.
+    pub(crate) fn set_zones(&mut self, own: ZoneId, zones: &[ZoneId]) {
+        let kept = |zone: ZoneId| zone == own || zones.contains(&zone);
+        if self.zones.iter().any(|z| !kept(z.zone)) {
+            self.zones.retain(|z| kept(z.zone));
+            self.arena.retain(|_, e| kept(e.update.member.zone));
+            self.index.retain(|_, key| self.arena.contains_key(*key));
+            self.generation += 1;
+        }
+        for &zone in zones {
+            if self.zone(zone).is_none() {
+                self.zones.push(ZoneMembers::new(zone));
+            }
+        }
+    }
+
+    /// Merges an update and returns whether it was news. A higher incarnation wins, and at equal
+    /// incarnations the later state.
+    pub(crate) fn merge(&mut self, now: Time, update: MemberUpdate) -> bool {
+        if self.zone(update.member.zone).is_none() {
+            return false;
+        }
+        let Some(key) = self.key(update.member.id) else {
+            self.insert(now, update);
+            return true;
+        };
+        let entry = &self.arena[key];
+        let known = entry.update;
+        let later =
+            (update.incarnation, update.state as u8) > (known.incarnation, known.state as u8);
+        if known.member.zone != update.member.zone || !later {
+            return false;
+        }
+        self.change(now, key, update);
+        true
+    }
+
+    /// Confirms a doubtful member and returns whether it was doubtful.
+    pub(crate) fn confirm(&mut self, key: MemberKey) -> bool {
+        if !self.arena[key].doubtful {
+            return false;
+        }
+        self.unlist(key);
+        self.arena[key].doubtful = false;
+        self.list(key);
+        self.generation += 1;
+        true
+    }
+
+    /// Makes all members of a zone doubtful.
+    pub(crate) fn doubt(&mut self, now: Time, zone: ZoneId) {
+        let Some(view) = self.zone(zone) else {
+            return;
+        };
+        for id in view.present.clone() {
+            if let Some(key) = self.key(id) {
+                self.unlist(key);
+                self.arena[key].doubtful = true;
+                self.gone.push_back((now, key));
+            }
+        }
+        self.generation += 1;
+    }
+
+    /// Forgets members that have been dead or doubtful for `keep`.
+    pub(crate) fn expire(&mut self, now: Time, keep: Duration) {
+        while let Some(&(since, key)) = self.gone.front() {
+            if now.since(since) < keep {
+                break;
+            }
+            self.gone.pop_front();
+            let renewed = self.gone.iter().any(|g| g.1 == key);
+            if !renewed && self.arena.get(key).is_some_and(|e| !e.present()) {
+                self.remove(key);
+            }
+        }
+    }
+
+    /// Returns the oldest time at which [`Members::expire`] has work to do.
+    pub(crate) fn expires(&self, keep: Duration) -> Option<Time> {
+        self.gone.front().map(|g| g.0 + keep)
+    }
+
+    /// Returns the number of dead or doubtful members, an upper bound.
+    pub(crate) fn gone(&self) -> usize {
+        self.gone.len()
+    }
+
+    /// Returns one of the dead or doubtful members, if it still is.
+    pub(crate) fn gone_at(&self, at: usize) -> Option<&Entry> {
+        let (_, key) = *self.gone.get(at)?;
+        self.arena.get(key).filter(|e| !e.present())
+    }
+
+    pub(crate) fn key(&self, id: InstanceId) -> Option<MemberKey> {
+        self.index.get(&id).copied()
+    }
+
+    pub(crate) fn get(&self, id: InstanceId) -> Option<&Entry> {
+        self.arena.get(self.key(id)?)
+    }
+
+    pub(crate) fn get_mut(&mut self, id: InstanceId) -> Option<&mut Entry> {
+        let key = self.key(id)?;
+        self.arena.get_mut(key)
+    }
+
+    pub(crate) fn at(&self, key: MemberKey) -> Option<&Entry> {
+        self.arena.get(key)
+    }
+
+    pub(crate) fn at_mut(&mut self, key: MemberKey) -> Option<&mut Entry> {
+        self.arena.get_mut(key)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Entry> {
+        self.arena.values()
+    }
+
+    pub(crate) fn zone(&self, zone: ZoneId) -> Option<&ZoneMembers> {
+        self.zones.iter().find(|z| z.zone == zone)
+    }
+
+    pub(crate) fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    pub(crate) fn touch(&mut self) {
+        self.generation += 1;
+    }
+
+    fn insert(&mut self, now: Time, update: MemberUpdate) {
+        let key = self.arena.insert(Entry::new(update));
+        self.index.insert(update.member.id, key);
+        if update.state == MemberState::Dead {
+            // Kept against late gossip; nobody counted it here.
+            self.gone.push_back((now, key));
+            return;
+        }
+        self.list(key);
+        self.changed(now, key);
+    }
+
+    fn change(&mut self, now: Time, key: MemberKey, update: MemberUpdate) {
+        self.unlist(key);
+        let entry = &mut self.arena[key];
+        let renewed = entry.update.state == MemberState::Dead || entry.doubtful;
+        let restated = entry.update.state != update.state || entry.doubtful;
+        entry.update = update;
+        entry.doubtful = false;
+        if renewed || update.state == MemberState::Dead {
+            entry.watch = None;
+        }
+        self.list(key);
+        if restated {
+            self.changed(now, key);
+        }
+    }
+
+    fn changed(&mut self, now: Time, key: MemberKey) {
+        let update = self.arena[key].update;
+        self.generation += 1;
+        if update.state == MemberState::Dead {
+            self.gone.push_back((now, key));
+        }
+        self.notes.push(Occurrence::Member {
+            instance: update.member.id,
+            zone: update.member.zone,
+            state: update.state,
+        });
+    }
+
+    fn remove(&mut self, key: MemberKey) {
+        if let Some(entry) = self.arena.remove(key) {
+            self.index.remove(&entry.update.member.id);
+        }
+    }
+
+    fn list(&mut self, key: MemberKey) {
+        let entry = &self.arena[key];
+        if !entry.present() {
+            return;
+        }
+        let update = entry.update;
+        let zone = update.member.zone;
+        if let Some(view) = self.zones.iter_mut().find(|z| z.zone == zone) {
+            view.digest = view.digest.wrapping_add(hash(&update));
+            insert_sorted(&mut view.present, update.member.id);
+            if update.state == MemberState::Live {
+                insert_sorted(&mut view.live, update.member.id);
+            }
+        }
+    }
+
+    fn unlist(&mut self, key: MemberKey) {
+        let entry = &self.arena[key];
+        if !entry.present() {
+            return;
+        }
+        let update = entry.update;
+        let zone = update.member.zone;
+        if let Some(view) = self.zones.iter_mut().find(|z| z.zone == zone) {
+            view.digest = view.digest.wrapping_sub(hash(&update));
+            remove_sorted(&mut view.present, update.member.id);
+            remove_sorted(&mut view.live, update.member.id);
+        }
+    }
+}
+
+impl Entry {
+    fn new(update: MemberUpdate) -> Entry {
+        Entry {
+            update,
+            heard: None,
+            acked: None,
+            granted: None,
+            revision: Revision(0),
+            doubtful: false,
+            watch: None,
+        }
+    }
+
+    /// Returns whether the member counts as live or leaving.
+    pub(crate) fn present(&self) -> bool {
+        self.update.state != MemberState::Dead && !self.doubtful
+    }
+}
+
+impl ZoneMembers {
+    fn new(zone: ZoneId) -> ZoneMembers {
+        ZoneMembers {
+            zone,
+            live: Vec::new(),
+            present: Vec::new(),
+            digest: 0,
+        }
+    }
+
+    pub(crate) fn live(&self) -> &[InstanceId] {
+        &self.live
+    }
+
+    pub(crate) fn present(&self) -> &[InstanceId] {
+        &self.present
+    }
+
+    pub(crate) fn digest(&self) -> u64 {
+        self.digest
+    }
+}
+
+fn insert_sorted(ids: &mut Vec<InstanceId>, id: InstanceId) {
+    if let Err(at) = ids.binary_search(&id) {
+        ids.insert(at, id);
+    }
+}
+
+fn remove_sorted(ids: &mut Vec<InstanceId>, id: InstanceId) {
+    if let Ok(at) = ids.binary_search(&id) {
+        ids.remove(at);
+    }
+}
+
+/// Returns a well mixed hash (SplitMix64) that is the same at every instance.
+fn hash(update: &MemberUpdate) -> u64 {
+    let state = (u64::from(update.incarnation) << 8) | u64::from(update.state as u8);
+    mix(update.member.id.0 ^ mix(state))
+}
+
+fn mix(value: u64) -> u64 {
+    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- a/decisions/src/peer.rs
+++ b/decisions/src/peer.rs
@@ -122,6 +122,8 @@
         sequence: u64,
         /// The sender's configuration.
         revision: Revision,
+        /// Equal at two instances that agree on the members of the sender's zone.
+        digest: u64,
         /// At most [`MAX_UPDATES`].
         updates: SmallVec<[MemberUpdate; MAX_UPDATES]>,
         /// Loads of the backend servers that the sender owns.
@@ -135,6 +137,8 @@
         sequence: u64,
         /// The sender's configuration.
         revision: Revision,
+        /// Equal at two instances that agree on the members of the sender's zone.
+        digest: u64,
         /// At most [`MAX_UPDATES`].
         updates: SmallVec<[MemberUpdate; MAX_UPDATES]>,
     },
--- /dev/null
+++ b/decisions/src/watching.rs
@@ -0,0 +1,427 @@
+//! Which members get heartbeats, and what their silence leads to.
+
+use std::time::Duration;
+
+use rand_core::RngCore;
+use smallvec::SmallVec;
+
+use crate::action::Action;
+use crate::contact::MAX_CONTACTS;
+use crate::heartbeat::Watch;
+use crate::ids::{
+    InstanceId,
+    ZoneId, //
+};
+use crate::members::MemberKey;
+use crate::membership::{
+    Context,
+    Membership, //
+};
+use crate::peer::{
+    Member,
+    MemberState,
+    MemberUpdate,
+    PeerMessage, //
+};
+use crate::time::Time;
+
+/// How many hints are tried at once while no other member of the zone is known.
+const FIRST_HINTS: usize = 3;
+
+impl Membership {
+    /// Starts all failure timeouts anew: this process was paused, so that silence says nothing.
+    pub(crate) fn wake(&mut self, now: Time) {
+        for &key in &self.watched {
+            if let Some(watch) = self.members.at_mut(key).and_then(|e| e.watch.as_mut()) {
+                watch.restart(now);
+            }
+        }
+    }
+
+    /// Declares members of the own zone dead whose failure timeout passed.
+    pub(crate) fn bury(&mut self, now: Time) {
+        for at in 0..self.watched.len() {
+            if self.failed_at(self.watched[at]).is_some_and(|f| f <= now)
+                && let Some(entry) = self.members.at(self.watched[at])
+            {
+                let state = MemberState::Dead;
+                self.merge(
+                    now,
+                    MemberUpdate {
+                        state,
+                        ..entry.update
+                    },
+                );
+            }
+        }
+    }
+
+    /// Returns when a watched member counts as dead. Other zones judge their own members.
+    fn failed_at(&self, key: MemberKey) -> Option<Time> {
+        let entry = self.members.at(key)?;
+        if !self.inside(entry.update.member.zone) {
+            return None;
+        }
+        let settings = &self.settings;
+        let watch = entry.watch.as_ref()?;
+        watch.failed_at(entry.heard, settings.failure_timeout, settings.link_timeout)
+    }
+
+    /// Draws another random neighbour. The ring alone would spread news in a time that grows
+    /// with the zone; random edges make it logarithmic.
+    pub(crate) fn change_neighbour(&mut self, now: Time) {
+        let gone = self.neighbour.is_some_and(|id| !self.present(id));
+        if now < self.next_neighbour && !gone {
+            return;
+        }
+        self.next_neighbour = now + self.settings.neighbour_change;
+        let zone = self.own.member.zone;
+        self.neighbour = self.choose_present(zone, &[self.own.member.id]);
+    }
+
+    /// Keeps one contact in each other zone, and finds out whether the zone can be reached.
+    pub(crate) fn check_contacts(&mut self, now: Time) {
+        for at in 0..self.zones.len() {
+            if self.inside(self.zones[at].zone) {
+                continue;
+            }
+            if self.zones[at].reachable {
+                self.check_reachable(now, at);
+            } else if now >= self.zones[at].retry {
+                self.retry_zone(now, at);
+            }
+        }
+    }
+
+    fn check_reachable(&mut self, now: Time, at: usize) {
+        let zone = self.zones[at].zone;
+        let mut ids = std::mem::take(&mut self.zones[at].ids);
+        ids.retain(|id| self.present(*id));
+        let silence = |id: InstanceId, timeout: Duration| {
+            let watch = self.members.get(id).and_then(|e| e.watch.as_ref());
+            watch.is_some_and(|w| w.silent(now, timeout))
+        };
+        let settings = &self.settings;
+        let answering = ids
+            .iter()
+            .copied()
+            .find(|&id| !silence(id, settings.link_timeout) && self.answers(id));
+        let failed = !ids.is_empty() && ids.iter().all(|&id| silence(id, settings.failure_timeout));
+        let silent = ids.iter().all(|&id| silence(id, settings.link_timeout));
+        if let Some(id) = answering {
+            ids.clear();
+            ids.push(id);
+        } else if failed {
+            let (first, most) = (settings.contact_heartbeat, settings.contact_retry);
+            self.zones[at].fail(now, first, most);
+            self.members.touch();
+            return;
+        } else if silent {
+            let wanted = if ids.is_empty() { 1 } else { MAX_CONTACTS };
+            while ids.len() < wanted
+                && let Some(id) = self.choose_present(zone, &ids)
+            {
+                ids.push(id);
+            }
+        }
+        self.zones[at].ids = ids;
+    }
+
+    /// Returns whether a watched member was heard since the watch began.
+    fn answers(&self, id: InstanceId) -> bool {
+        self.members.get(id).is_some_and(|e| {
+            let since = e.watch.as_ref().map(|w| w.since);
+            since.is_some() && e.heard >= since
+        })
+    }
+
+    fn retry_zone(&mut self, now: Time, at: usize) {
+        let (first, most) = (self.settings.contact_heartbeat, self.settings.contact_retry);
+        self.zones[at].fail(now, first, most);
+        let id = self.choose_present(self.zones[at].zone, &[]);
+        self.zones[at].ids.extend(id);
+    }
+
+    /// Starts and ends watches. A silent member of the own zone is watched until it answers or is
+    /// declared dead, whatever made it a neighbour.
+    pub(crate) fn rewatch(&mut self, now: Time) {
+        let wanted = self.wanted();
+        for &key in &wanted {
+            if let Some(entry) = self.members.at_mut(key)
+                && entry.watch.is_none()
+            {
+                entry.watch = Some(Watch::new(now));
+                if !self.watched.contains(&key) {
+                    self.watched.push(key);
+                }
+            }
+        }
+        let zone = self.own.member.zone;
+        let members = &mut self.members;
+        self.watched.retain(|&key| {
+            let Some(entry) = members.at_mut(key) else {
+                return false;
+            };
+            let waiting = entry.watch.as_ref().is_some_and(|w| w.waiting());
+            let silent = waiting && entry.update.member.zone == zone;
+            let kept = entry.watch.is_some() && (silent || wanted.contains(&key));
+            if !kept {
+                entry.watch = None;
+            }
+            kept
+        });
+    }
+
+    /// Returns the members that should get heartbeats.
+    fn wanted(&self) -> SmallVec<[MemberKey; 16]> {
+        let mut wanted = SmallVec::new();
+        let contacts = self.zones.iter().flat_map(|z| z.ids.iter().copied());
+        let ids = self
+            .ring()
+            .chain(self.partners.iter().copied())
+            .chain(self.neighbour)
+            .chain(contacts);
+        for id in ids.filter(|&id| id != self.own.member.id && self.present(id)) {
+            if let Some(key) = self.members.key(id)
+                && !wanted.contains(&key)
+            {
+                wanted.push(key);
+            }
+        }
+        wanted
+    }
+
+    /// Returns the next members on the ring of the own zone.
+    fn ring(&self) -> impl Iterator<Item = InstanceId> + '_ {
+        let me = self.own.member.id;
+        let zone = self.members.zone(self.own.member.zone);
+        let present = zone.map_or(&[][..], |z| z.present());
+        let start = present.partition_point(|&id| id <= me);
+        let (before, after) = present.split_at(start);
+        let ring = after.iter().chain(before).copied();
+        ring.filter(move |&id| id != me)
+            .take(self.settings.ring_neighbours)
+    }
+
+    /// Sends the heartbeats that are due.
+    pub(crate) fn beat(&mut self, now: Time, ctx: &Context<'_>, out: &mut Vec<Action>) {
+        for at in 0..self.watched.len() {
+            let key = self.watched[at];
+            let Some(entry) = self.members.at(key) else {
+                continue;
+            };
+            let member = entry.update.member;
+            let Some(watch) = entry.watch.as_ref().filter(|w| w.next <= now) else {
+                continue;
+            };
+            let near = self.inside(member.zone) || self.partners.contains(&member.id);
+            let period = if near || watch.waiting() {
+                self.settings.heartbeat
+            } else {
+                self.settings.contact_heartbeat
+            };
+            let sequence = self.send_heartbeat(member, ctx, out);
+            if let Some(watch) = self.members.at_mut(key).and_then(|e| e.watch.as_mut()) {
+                watch.sent(sequence, now);
+                watch.next = now + period;
+            }
+        }
+    }
+
+    /// Reopens silent links, and has silent members of the own zone probed by others.
+    pub(crate) fn probe(&mut self, now: Time, out: &mut Vec<Action>) {
+        for at in 0..self.watched.len() {
+            let key = self.watched[at];
+            let Some(entry) = self.members.at_mut(key) else {
+                continue;
+            };
+            let target = entry.update.member;
+            let timeout = self.settings.link_timeout;
+            let Some(watch) = entry.watch.as_mut() else {
+                continue;
+            };
+            if watch.silent_at(timeout).is_none_or(|s| s > now) {
+                continue;
+            }
+            watch.probed(now);
+            watch.next = watch.next.min(now + self.settings.heartbeat);
+            let (to, address) = (target.id, target.control);
+            out.push(Action::Reconnect { to, address });
+            if self.inside(target.zone) {
+                self.probe_around(now, key, target, out);
+            }
+        }
+    }
+
+    /// Asks others to pass a heartbeat on. It has a sequence of its own, so that its
+    /// acknowledgement renews the lease from now and not from an older heartbeat.
+    fn probe_around(&mut self, now: Time, key: MemberKey, target: Member, out: &mut Vec<Action>) {
+        self.sequence += 1;
+        let (sender, sequence) = (self.own, self.sequence);
+        if let Some(watch) = self.members.at_mut(key).and_then(|e| e.watch.as_mut()) {
+            watch.sent(sequence, now);
+        }
+        for helper in self.helpers(now, target.id) {
+            let message = PeerMessage::ProbeRequest {
+                target,
+                sender,
+                sequence,
+            };
+            crate::answering::send(out, helper, message);
+        }
+    }
+
+    /// Chooses members that can probe `target`: watched ones that answer, else others of the
+    /// zone, else contacts in other zones.
+    fn helpers(&mut self, now: Time, target: InstanceId) -> SmallVec<[Member; 4]> {
+        let most = self.settings.indirect_probes;
+        let timeout = self.settings.link_timeout;
+        let (mut near, mut far) = (Vec::new(), Vec::new());
+        for entry in self.watched.iter().filter_map(|&k| self.members.at(k)) {
+            let silent = entry.watch.as_ref().is_none_or(|w| w.silent(now, timeout));
+            let member = entry.update.member;
+            if silent || member.id == target {
+                continue;
+            }
+            match self.inside(member.zone) {
+                true => near.push(member.id),
+                false => far.push(member.id),
+            }
+        }
+        let mut chosen: SmallVec<[InstanceId; 4]> = SmallVec::new();
+        while chosen.len() < most
+            && let Some(id) = self.choose(&near)
+        {
+            near.retain(|&n| n != id);
+            chosen.push(id);
+        }
+        let zone = self.own.member.zone;
+        let mut excluded: Vec<InstanceId> = vec![self.own.member.id, target];
+        excluded.extend(&chosen);
+        while chosen.len() < most
+            && let Some(id) = self.choose_present(zone, &excluded)
+        {
+            excluded.push(id);
+            chosen.push(id);
+        }
+        if chosen.is_empty() {
+            chosen.extend(far.into_iter().take(most));
+        }
+        let members = chosen.iter().filter_map(|&id| self.member(id));
+        members.copied().collect()
+    }
+
+    /// Sends a heartbeat to listed or dead members that do not count as live here. They answer if
+    /// they are alive, which joins two parts of a zone that lost sight of each other.
+    pub(crate) fn try_hints(&mut self, now: Time, ctx: &Context<'_>, out: &mut Vec<Action>) {
+        if now < self.next_hint {
+            return;
+        }
+        let zone = self.own.member.zone;
+        let alone = self
+            .members
+            .zone(zone)
+            .is_none_or(|z| z.present().len() < 2);
+        let (pause, tries) = if alone {
+            (self.settings.heartbeat, FIRST_HINTS)
+        } else {
+            (self.settings.hint_retry, 1)
+        };
+        self.next_hint = now + pause;
+        let mut tried: SmallVec<[Member; 8]> = SmallVec::new();
+        let mut pool = self.hints_of(zone);
+        pool.extend(self.gone_member(zone));
+        for _ in 0..tries {
+            if !pool.is_empty() {
+                let at = self.below(pool.len());
+                tried.push(pool.swap_remove(at));
+            }
+        }
+        for at in 0..self.zones.len() {
+            let zone = self.zones[at].zone;
+            let known = self
+                .members
+                .zone(zone)
+                .is_some_and(|z| !z.present().is_empty());
+            if self.inside(zone) || known && self.zones[at].reachable {
+                continue;
+            }
+            let mut pool = self.hints_of(zone);
+            if !pool.is_empty() {
+                let at = self.below(pool.len());
+                tried.push(pool.swap_remove(at));
+            }
+        }
+        for member in tried {
+            self.send_heartbeat(member, ctx, out);
+        }
+    }
+
+    /// Returns the listed members of a zone that do not count as live here.
+    fn hints_of(&self, zone: ZoneId) -> Vec<Member> {
+        let hints = self.hints.iter().filter(|h| h.zone == zone);
+        hints.filter(|h| !self.present(h.id)).copied().collect()
+    }
+
+    /// Returns a random dead member of a zone.
+    fn gone_member(&mut self, zone: ZoneId) -> Option<Member> {
+        let n = self.members.gone();
+        if n == 0 {
+            return None;
+        }
+        let at = self.below(n);
+        let member = self.members.gone_at(at)?.update.member;
+        (member.zone == zone).then_some(member)
+    }
+
+    /// Returns when the next tick has work to do.
+    pub(crate) fn next_due(&self) -> Time {
+        let timeout = self.settings.link_timeout;
+        let mut due = self.next_hint.min(self.next_neighbour);
+        for &key in &self.watched {
+            let Some(watch) = self.members.at(key).and_then(|e| e.watch.as_ref()) else {
+                continue;
+            };
+            due = due.min(watch.next);
+            due = watch.silent_at(timeout).map_or(due, |t| t.min(due));
+            due = self.failed_at(key).map_or(due, |t| t.min(due));
+        }
+        let unreachable = self.zones.iter().filter(|z| !z.reachable);
+        due = unreachable.map(|z| z.retry).fold(due, Time::min);
+        let expires = self.members.expires(self.settings.keep_dead);
+        expires.map_or(due, |t| t.min(due))
+    }
+
+    fn inside(&self, zone: ZoneId) -> bool {
+        zone == self.own.member.zone
+    }
+
+    fn present(&self, id: InstanceId) -> bool {
+        self.members.get(id).is_some_and(|e| e.present())
+    }
+
+    /// Chooses a random present member of a zone.
+    fn choose_present(&mut self, zone: ZoneId, excluded: &[InstanceId]) -> Option<InstanceId> {
+        let n = self.members.zone(zone)?.present().len();
+        if n == 0 {
+            return None;
+        }
+        let start = self.below(n);
+        let present = self.members.zone(zone)?.present();
+        let around = present[start..].iter().chain(&present[..start]);
+        around.copied().find(|id| !excluded.contains(id))
+    }
+
+    pub(crate) fn choose(&mut self, ids: &[InstanceId]) -> Option<InstanceId> {
+        if ids.is_empty() {
+            return None;
+        }
+        let at = self.below(ids.len());
+        ids.get(at).copied()
+    }
+
+    /// Returns a random number below `n`, which is not 0.
+    fn below(&mut self, n: usize) -> usize {
+        ((u64::from(self.rng.next_u32()) * n as u64) >> 32) as usize
+    }
+}
