Route, admit and hand over flows in the decisions

One owner instance for each backend server admits under a pairwise lease; flows follow weighted rendezvous candidates, and only exceptions keep a record at other owners. Unknown flows are looked for along the candidates and earlier tables before the owner of the first choice decides.

--- a/decisions/src/counter.rs
+++ b/decisions/src/counter.rs
@@ -50,6 +50,10 @@
     Repeats,
     /// Requests cancelled at their backend server.
     Cancels,
+    /// Packets of a kind that their sender may not send; dropped.
+    UnexpectedKinds,
+    /// Packets of unknown flows or requests that need no answer; dropped.
+    StrayPackets,
     /// Answers to closed flows or requests; dropped.
     StrayAnswers,
     /// Packets for a service that is not configured; dropped.
@@ -64,6 +68,8 @@
     PeerMessages,
     /// Calls to the platform's store.
     StoreCalls,
+    /// Configuration records that do not apply.
+    BadRecords,
     /// Backend servers acquired.
     Acquisitions,
     /// Leases that lapsed.
--- a/decisions/src/instance.rs
+++ b/decisions/src/instance.rs
@@ -1,53 +1,283 @@
 //! The decision state of one instance.
 
+use rand_core::SeedableRng;
+use rand_pcg::Pcg32;
+use rustc_hash::FxHashMap;
 use serde::Deserialize;
+use smallvec::SmallVec;
 
 use crate::action::Action;
 use crate::config::Configuration;
-use crate::counter::Counters;
+use crate::counter::{
+    Counter,
+    Counters, //
+};
 use crate::event::Event;
+use crate::flows::{
+    FlowKey,
+    Flows,
+    Place, //
+};
 use crate::ids::{
+    BackendServerId,
     FlowId,
+    InstanceId,
+    Revision,
     ServiceId, //
 };
-use crate::peer::Member;
+use crate::membership::{
+    Context,
+    Membership,
+    MembershipSettings, //
+};
+use crate::occurrence::Occurrence;
+use crate::owners::Owners;
+use crate::ownership::OwnershipSettings;
+use crate::peer::{
+    LoadShare,
+    Member,
+    MemberState,
+    MemberUpdate,
+    PeerMessage, //
+};
+use crate::requests::Requests;
+use crate::retry_budget::{
+    RetryBudget,
+    RetrySettings, //
+};
+use crate::servers::{
+    AdmissionSettings,
+    Server,
+    Servers, //
+};
+use crate::spread::{
+    Spread,
+    SpreadSettings, //
+};
 use crate::status::{
+    CandidateStatus,
     Explanation,
+    Flag,
     FlowHolding,
+    OwnedStatus,
     Status, //
 };
+use crate::tables::Tables;
 use crate::time::Time;
+use crate::upkeep::HostingSettings;
+use crate::warmup::WarmupSettings;
 
 /// Settings of the decisions.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
-pub struct Settings {}
+pub struct Settings {
+    /// Heartbeats and failure detection.
+    pub membership: MembershipSettings,
+    /// Leases of backend servers.
+    pub ownership: OwnershipSettings,
+    /// Admission to backend servers.
+    pub admission: AdmissionSettings,
+    /// Warm-up of backend servers.
+    pub warmup: WarmupSettings,
+    /// Retry budgets.
+    pub retry: RetrySettings,
+    /// Flows and requests.
+    pub hosting: HostingSettings,
+    /// Spreading of configurations.
+    pub spread: SpreadSettings,
+}
 
 /// The decision state of one instance.
 pub struct Instance {
-    member: Member,
-    configuration: Configuration,
-    counters: Counters,
+    pub(crate) member: Member,
+    pub(crate) settings: Settings,
+    pub(crate) rng: Pcg32,
+    pub(crate) membership: Membership,
+    /// Its revision only rises.
+    pub(crate) configuration: Configuration,
+    pub(crate) tables: Tables,
+    pub(crate) owners: Owners,
+    /// The membership's generation and the revision that ownership was last computed from.
+    pub(crate) refreshed: Option<(u64, Revision)>,
+    pub(crate) servers: Servers,
+    /// Limits of backend servers that were handed over before this instance knew that it owns them.
+    pub(crate) handed: FxHashMap<BackendServerId, (Time, u32)>,
+    pub(crate) flows: Flows,
+    pub(crate) requests: Requests,
+    /// Flows whose exception is to be registered with the owner of their first choice.
+    pub(crate) exceptions: Vec<FlowKey>,
+    /// One for each configured service.
+    pub(crate) budgets: FxHashMap<ServiceId, RetryBudget>,
+    pub(crate) spread: Spread,
+    pub(crate) counters: Counters,
+    pub(crate) platform: bool,
+    pub(crate) started: bool,
+    /// When the graceful shutdown began.
+    pub(crate) leaving: Option<Time>,
+    pub(crate) stopped: bool,
+    pub(crate) next_pass: Time,
+    pub(crate) next_sweep: Time,
 }
 
 impl Instance {
     /// Creates an instance without configuration; `seed` feeds its random numbers.
-    pub fn new(member: Member, _settings: Settings, _seed: u64) -> Instance {
+    pub fn new(member: Member, settings: Settings, seed: u64) -> Instance {
+        let update = MemberUpdate {
+            member,
+            state: MemberState::Live,
+            incarnation: 0,
+        };
         Instance {
             member,
+            membership: Membership::new(update, settings.membership.clone(), seed),
+            settings,
+            rng: Pcg32::seed_from_u64(!seed),
             configuration: Configuration::default(),
+            tables: Tables::default(),
+            owners: Owners::default(),
+            refreshed: None,
+            servers: Servers::default(),
+            handed: FxHashMap::default(),
+            flows: Flows::default(),
+            requests: Requests::default(),
+            exceptions: Vec::new(),
+            budgets: FxHashMap::default(),
+            spread: Spread::default(),
             counters: Counters::default(),
+            platform: true,
+            started: false,
+            leaving: None,
+            stopped: false,
+            next_pass: Time::ZERO,
+            next_sweep: Time::ZERO,
         }
     }
 
     /// Handles one event at `now` and appends what is to be done to `out`.
     ///
     /// `now` never goes back between calls.
-    pub fn handle(&mut self, _now: Time, _event: Event, _out: &mut Vec<Action>) {}
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        if self.stopped {
+            return;
+        }
+        let before = out.len();
+        if !self.started {
+            self.started = true;
+            out.push(Action::Note(Occurrence::Started));
+        }
+        self.dispatch(now, event, out);
+        self.refresh_owners(now, out);
+        let sent = out[before..]
+            .iter()
+            .filter(|action| matches!(action, Action::SendPeer { .. }))
+            .count();
+        self.counters.add_many(Counter::PeerSends, sent as u64);
+    }
+
+    fn dispatch(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Tick => self.tick(now, out),
+            Event::CallerPacket(packet) => self.on_caller_packet(now, packet, out),
+            Event::RelayedPacket { relay, packet } => {
+                self.on_relayed_packet(now, relay, packet, out);
+            }
+            Event::ServerPacket {
+                backend_server,
+                packet,
+            } => self.on_server_packet(now, backend_server, packet, out),
+            Event::PeerMessage { from, message } => self.on_peer(now, from, *message, out),
+            Event::Records(records) => self.on_records(now, records, out),
+            Event::Snapshot(snapshot) => self.on_snapshot(now, &snapshot, out),
+            Event::Listed(list) => self.membership.listed(now, &list),
+            Event::Platform(answers) => self.on_platform(answers, out),
+            Event::Health {
+                backend_server,
+                health,
+            } => self.on_health(now, backend_server, health, out),
+            Event::Load {
+                backend_server,
+                report,
+            } => self.on_load(now, backend_server, report, out),
+            Event::Leave => self.on_leave(now, out),
+        }
+    }
+
+    fn on_peer(
+        &mut self,
+        now: Time,
+        from: InstanceId,
+        message: PeerMessage,
+        out: &mut Vec<Action>,
+    ) {
+        self.counters.add(Counter::PeerMessages);
+        self.membership.observe(now, from, &message);
+        // An acknowledgement promises that nothing of the sender's is owned here any more.
+        self.refresh_owners(now, out);
+        let loads = self.loads();
+        let context = Context {
+            revision: self.configuration.revision,
+            loads: &loads,
+        };
+        self.membership.reply(now, from, &message, &context, out);
+        match message {
+            PeerMessage::PullChanges { after } => self.on_pull(from, after, out),
+            PeerMessage::Changes { records } => {
+                self.on_records(now, records, out);
+                self.spread_again(now, out);
+            }
+            PeerMessage::RegisterExceptions { exceptions } => {
+                self.on_exceptions(now, exceptions);
+            }
+            PeerMessage::Handover {
+                backend_server,
+                limit,
+                flows,
+                last,
+            } => self.on_handover(now, backend_server, limit, flows, last, out),
+            _ => {}
+        }
+    }
+
+    /// Pulls the rest at once where a pull brought only a part of the missing records.
+    fn spread_again(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.spread.is_behind() {
+            self.tick_spread(now, out);
+        }
+    }
+
+    fn on_platform(&mut self, answers: bool, out: &mut Vec<Action>) {
+        if answers == self.platform {
+            return;
+        }
+        self.platform = answers;
+        let note = if answers {
+            Occurrence::PlatformBack
+        } else {
+            Occurrence::PlatformLost
+        };
+        out.push(Action::Note(note));
+    }
+
+    pub(crate) fn tick_membership(&mut self, now: Time, out: &mut Vec<Action>) {
+        let loads = self.loads();
+        let context = Context {
+            revision: self.configuration.revision,
+            loads: &loads,
+        };
+        self.membership.tick(now, &context, out);
+    }
+
+    fn loads(&self) -> SmallVec<[LoadShare; 8]> {
+        self.servers.iter().map(load_share).collect()
+    }
 
     /// Returns when the instance wants [`Event::Tick`] at the latest.
     pub fn deadline(&self) -> Option<Time> {
-        None
+        if self.stopped {
+            return None;
+        }
+        let membership = self.membership.deadline().unwrap_or(self.next_pass);
+        Some(membership.min(self.next_pass))
     }
 
     /// Returns the configuration in force.
@@ -61,25 +291,95 @@
     }
 
     /// Returns what the instance tells operators about itself.
-    pub fn status(&self, _now: Time) -> Status {
+    pub fn status(&self, now: Time) -> Status {
         Status {
             member: self.member,
             revision: self.configuration.revision,
-            flows: 0,
-            requests: 0,
-            owned: Vec::new(),
-            members: Vec::new(),
-            flags: smallvec::SmallVec::new(),
+            flows: self.flows.len() as u64,
+            requests: self.requests.len() as u64,
+            owned: self
+                .servers
+                .ids()
+                .iter()
+                .filter_map(|id| self.servers.get(*id))
+                .map(|server| self.owned_status(now, server))
+                .collect(),
+            members: self.membership.updates().collect(),
+            flags: self.flags(),
         }
     }
 
+    fn owned_status(&self, now: Time, server: &Server) -> OwnedStatus {
+        OwnedStatus {
+            backend_server: server.id,
+            limit: server.limit(),
+            running: server.running,
+            queued: server.queue.len() as u32,
+            flows: server.flows,
+            fenced: !self.may_admit(now, server),
+            health: server.health,
+        }
+    }
+
+    fn flags(&self) -> SmallVec<[Flag; 4]> {
+        let alone = self.membership.live(self.member.zone).len() <= 1;
+        let conditions = [
+            (Flag::PlatformLost, !self.platform),
+            (Flag::Fenced, self.servers.iter().any(|s| s.fenced)),
+            (Flag::Alone, alone),
+            (Flag::Behind, self.spread.is_behind()),
+            (Flag::ServerDown, self.servers.iter().any(|s| s.down)),
+            (Flag::Leaving, self.leaving.is_some()),
+            (Flag::Unconfigured, self.configuration.revision.0 == 0),
+        ];
+        let raised = conditions.into_iter().filter(|(_, raised)| *raised);
+        raised.map(|(flag, _)| flag).collect()
+    }
+
     /// Explains where the packets of a flow go.
-    pub fn explain(&self, service: ServiceId, _flow: FlowId) -> Explanation {
+    pub fn explain(&self, service: ServiceId, flow: FlowId) -> Explanation {
+        let ranking = self.tables.rank(service, flow).unwrap_or_default();
         Explanation {
             service,
             revision: self.configuration.revision,
-            candidates: smallvec::SmallVec::new(),
-            holding: FlowHolding::None,
+            candidates: ranking
+                .iter()
+                .map(|candidate| CandidateStatus {
+                    backend_server: candidate.backend_server,
+                    owner: crate::owners::compute(
+                        candidate.backend_server,
+                        candidate.zone,
+                        &self.membership,
+                    )
+                    .first()
+                    .copied(),
+                })
+                .collect(),
+            holding: self.holding(flow),
+        }
+    }
+
+    fn holding(&self, flow: FlowId) -> FlowHolding {
+        let flow = self.flows.find(flow).and_then(|key| self.flows.get(key));
+        match flow.map(|flow| (flow.place, flow.requests)) {
+            Some((Place::Hosted(backend_server), head)) => FlowHolding::Hosted {
+                backend_server,
+                requests: self.requests.list(head).count() as u32,
+            },
+            Some((Place::Redirected(backend_server), _)) => {
+                FlowHolding::Redirected { backend_server }
+            }
+            Some((Place::Closed(reason), _)) => FlowHolding::Closed { reason },
+            None => FlowHolding::None,
         }
     }
 }
+
+fn load_share(server: &Server) -> LoadShare {
+    let used = server.running as usize + server.queue.len();
+    let share = used * 256 / server.slots.max(1) as usize;
+    LoadShare {
+        backend_server: server.id,
+        used: share.min(usize::from(u16::MAX)) as u16,
+    }
+}
--- a/decisions/src/membership.rs
+++ b/decisions/src/membership.rs
@@ -393,6 +393,18 @@
         self.members.zone(zone).map_or(&[], |z| z.live())
     }
 
+    /// Returns the live members of all zones of the region.
+    pub fn live_region(&self) -> Vec<InstanceId> {
+        let zones = self.zones.iter();
+        zones.flat_map(|z| self.live(z.zone)).copied().collect()
+    }
+
+    /// Returns the members of a zone that died lately.
+    pub fn dead(&self, zone: ZoneId) -> impl Iterator<Item = InstanceId> + '_ {
+        let dead = move |u: &MemberUpdate| u.state == MemberState::Dead && u.member.zone == zone;
+        self.updates().filter(dead).map(|u| u.member.id)
+    }
+
     /// Returns whether a member is live (and not leaving).
     pub fn is_live(&self, id: InstanceId) -> bool {
         self.state(id) == Some(MemberState::Live)
--- /dev/null
+++ b/decisions/src/ownership.rs
@@ -0,0 +1,312 @@
+//! Ownership of backend servers: which ones this instance owns, and whether its lease holds.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use smallvec::SmallVec;
+
+use crate::action::Action;
+use crate::config::ServerState;
+use crate::counter::Counter;
+use crate::event::Health;
+use crate::ids::{
+    BackendServerId,
+    InstanceId, //
+};
+use crate::instance::Instance;
+use crate::occurrence::Occurrence;
+use crate::owners::Succession;
+use crate::servers::{
+    Phase,
+    Server, //
+};
+use crate::time::Time;
+use crate::warmup::Warmup;
+
+/// Settings of ownership.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct OwnershipSettings {
+    /// How long after sending a heartbeat its acknowledgement by the successor lets an owner admit.
+    #[serde(with = "humantime_serde")]
+    pub fence: Duration,
+    /// How long a successor waits after its last acknowledgement before it admits. Longer than the
+    /// fence, so that a paused owner is fenced before its successor admits.
+    #[serde(with = "humantime_serde")]
+    pub takeover: Duration,
+    /// How long a new owner reckons with flows and requests of the one before. Also how long closed
+    /// flows are remembered.
+    #[serde(with = "humantime_serde")]
+    pub memory: Duration,
+}
+
+impl Default for OwnershipSettings {
+    fn default() -> OwnershipSettings {
+        OwnershipSettings {
+            fence: Duration::from_millis(900),
+            takeover: Duration::from_millis(1500),
+            memory: Duration::from_secs(60),
+        }
+    }
+}
+
+/// How many successors have to acknowledge a heartbeat before a lapsed lease is renewed. The second
+/// one may have taken over while the owner and its first successor were both paused.
+const RENEWAL: usize = 2;
+
+impl Instance {
+    /// Compares the backend servers that this instance owns with those that it should own.
+    pub(crate) fn refresh_owners(&mut self, now: Time, out: &mut Vec<Action>) {
+        let generation = (self.membership.generation(), self.configuration.revision);
+        if self.refreshed == Some(generation) {
+            return;
+        }
+        self.refreshed = Some(generation);
+        let wanted = self.wanted_servers();
+        for id in self.servers.ids() {
+            if !wanted.iter().any(|(other, _)| *other == id) {
+                self.refresh_missing(now, id, out);
+            }
+        }
+        let mut partners: SmallVec<[InstanceId; 16]> = SmallVec::new();
+        for (id, succession) in wanted {
+            for instance in succession.iter().take(RENEWAL + 1) {
+                if *instance != self.member.id && !partners.contains(instance) {
+                    partners.push(*instance);
+                }
+            }
+            if succession.first() == Some(&self.member.id) {
+                self.refresh_owned(now, id, &succession, out);
+            } else if self.servers.owns(id) {
+                self.release(now, id, succession.first().copied(), out);
+            }
+        }
+        self.membership.set_partners(&partners);
+    }
+
+    /// Returns the backend servers that this instance owns or succeeds to, by the present members.
+    fn wanted_servers(&mut self) -> Vec<(BackendServerId, Succession)> {
+        let me = self.member.id;
+        let mut wanted = Vec::new();
+        for server in self.configuration.servers.values() {
+            let Some(pool) = self.configuration.pools.get(&server.pool) else {
+                continue;
+            };
+            // Another zone's backend servers matter only where that zone has no live instance.
+            if pool.zone != self.member.zone && !self.membership.live(pool.zone).is_empty() {
+                continue;
+            }
+            let succession = self
+                .owners
+                .succession(server.id, pool.zone, &self.membership);
+            if succession.contains(&me) {
+                wanted.push((server.id, succession.clone()));
+            }
+        }
+        wanted
+    }
+
+    /// Handles an owned backend server that is not configured any more, or not in this instance's
+    /// reach of owners.
+    fn refresh_missing(&mut self, now: Time, id: BackendServerId, out: &mut Vec<Action>) {
+        if self.configuration.servers.contains_key(&id) {
+            let zone = self.zone_of(id);
+            let owner = zone.and_then(|zone| self.owner(id, zone));
+            self.release(now, id, owner, out);
+            return;
+        }
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        // Its flows may finish what they have begun.
+        server.state = ServerState::Draining;
+        if server.flows == 0 {
+            self.release(now, id, None, out);
+        }
+    }
+
+    fn refresh_owned(
+        &mut self,
+        now: Time,
+        id: BackendServerId,
+        succession: &Succession,
+        out: &mut Vec<Action>,
+    ) {
+        if !self.servers.owns(id) {
+            self.acquire(now, id, out);
+        }
+        let successors: SmallVec<[InstanceId; 2]> =
+            succession.iter().skip(1).copied().take(RENEWAL).collect();
+        let Some(config) = self.configuration.servers.get(&id) else {
+            return;
+        };
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        server.address = config.address;
+        server.endpoint = config.health;
+        server.slots = config.slots;
+        server.connections = config.connections;
+        server.state = config.state;
+        if server.successors.first() != successors.first() {
+            server.since = now;
+        }
+        server.successors = successors;
+    }
+
+    fn acquire(&mut self, now: Time, id: BackendServerId, out: &mut Vec<Action>) {
+        let Some(config) = self.configuration.servers.get(&id) else {
+            return;
+        };
+        let Some(pool) = self.configuration.pools.get(&config.pool) else {
+            return;
+        };
+        let until = self.takeover_end(now);
+        let handed = self.handed.remove(&id);
+        let phase = if handed.is_some() {
+            Phase::Active
+        } else {
+            Phase::Waiting { until }
+        };
+        let mut warmup = Warmup::cold(now);
+        if let Some((_, limit)) = handed {
+            warmup.resume(limit, config.slots, now);
+        }
+        let server = Server {
+            id,
+            service: pool.service,
+            zone: pool.zone,
+            address: config.address,
+            endpoint: config.health,
+            slots: config.slots,
+            connections: config.connections,
+            state: config.state,
+            phase,
+            acquired: now,
+            successors: SmallVec::new(),
+            since: now,
+            fenced: false,
+            lapsed: None,
+            warmup,
+            running: 0,
+            flows: 0,
+            queue: SmallVec::new(),
+            health: Health::Serving,
+            missed: 0,
+            report: None,
+            heard: None,
+            asked: None,
+            down: false,
+        };
+        out.push(Action::StartPolling {
+            backend_server: id,
+            health: server.endpoint,
+        });
+        self.servers.insert(server);
+        self.counters.add(Counter::Acquisitions);
+        let flows = self.count_hosted(id);
+        if let Some(server) = self.servers.get_mut(id) {
+            server.flows = flows;
+        }
+        out.push(Action::Note(Occurrence::Acquired {
+            backend_server: id,
+            flows,
+        }));
+    }
+
+    fn count_hosted(&self, id: BackendServerId) -> u32 {
+        let place = crate::flows::Place::Hosted(id);
+        self.flows.iter().filter(|(_, f)| f.place == place).count() as u32
+    }
+
+    /// Returns when the lease of every possible earlier owner has lapsed.
+    fn takeover_end(&self, now: Time) -> Time {
+        let delay = self.settings.ownership.takeover;
+        let mut until = now;
+        let mut known = false;
+        for dead in self.membership.dead(self.member.zone) {
+            known = true;
+            if let Some(granted) = self.membership.granted(dead) {
+                until = until.max(granted + delay);
+            }
+        }
+        // A live earlier owner hands over. Until it has, its lease runs.
+        if known { until } else { now + delay }
+    }
+
+    /// Gives a backend server up and hands its flows to the next owner.
+    pub(crate) fn release(
+        &mut self,
+        now: Time,
+        id: BackendServerId,
+        owner: Option<InstanceId>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(server) = self.servers.get(id) else {
+            return;
+        };
+        let active = server.phase == Phase::Active;
+        if let Some(owner) = owner.filter(|owner| *owner != self.member.id) {
+            self.hand_over(now, id, owner, active, out);
+        }
+        self.servers.remove(id);
+        out.push(Action::StopPolling { backend_server: id });
+        out.push(Action::Note(Occurrence::Released {
+            backend_server: id,
+            owner,
+        }));
+    }
+
+    /// Returns whether the lease of an owned backend server holds, and notes when that changes.
+    pub(crate) fn check_lease(
+        &mut self,
+        now: Time,
+        id: BackendServerId,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let Some(server) = self.servers.get(id) else {
+            return false;
+        };
+        let holds = self.lease_holds(now, server);
+        let changed = server.fenced == holds;
+        if changed {
+            self.note_lease(now, id, holds, out);
+        }
+        holds
+    }
+
+    /// Returns whether the owner of a backend server may admit, apart from its room.
+    pub(crate) fn may_admit(&self, now: Time, server: &Server) -> bool {
+        server.phase == Phase::Active && self.lease_holds(now, server)
+    }
+
+    fn lease_holds(&self, now: Time, server: &Server) -> bool {
+        let fence = self.settings.ownership.fence;
+        let needed = if server.lapsed.is_some() { RENEWAL } else { 1 };
+        server.successors.iter().take(needed).all(|successor| {
+            let acked = self.membership.acked(*successor);
+            match server.lapsed {
+                Some(lapsed) => acked.is_some_and(|sent| sent > lapsed && now.since(sent) < fence),
+                // A new successor waits for the takeover delay before it admits, so the lease holds
+                // for as long after it became one.
+                None => now.since(acked.unwrap_or(server.since).max(server.since)) < fence,
+            }
+        })
+    }
+
+    fn note_lease(&mut self, now: Time, id: BackendServerId, holds: bool, out: &mut Vec<Action>) {
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        server.fenced = !holds;
+        let note = if holds {
+            server.lapsed = None;
+            Occurrence::Unfenced { backend_server: id }
+        } else {
+            server.lapsed = Some(now);
+            self.counters.add(Counter::Fences);
+            Occurrence::Fenced { backend_server: id }
+        };
+        out.push(Action::Note(note));
+    }
+}
--- a/decisions/src/packet.rs
+++ b/decisions/src/packet.rs
@@ -85,6 +85,8 @@
     Cancelled = 10,
     /// The instance is shutting down.
     Shutdown = 11,
+    /// The request ran before; its answer is not kept.
+    Repeated = 12,
 }
 
 /// The largest payload of one packet, in bytes, so that a datagram stays under the IPv6 minimum
@@ -146,9 +148,26 @@
     }
 }
 
+/// Why an instance passes a packet on to another.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, strum::Display, strum::FromRepr)]
+#[strum(serialize_all = "snake_case")]
+#[repr(u8)]
+pub enum Purpose {
+    /// The packet opens a flow: place it on the backend server or a later candidate.
+    Place = 1,
+    /// The flow may have a record: look it up, or pass the packet on along the candidates.
+    Find = 2,
+    /// No instance has a record of the flow: the owner of the first candidate decides.
+    Adopt = 3,
+    /// The packet comes from a backend server that the receiver owns.
+    Answer = 4,
+}
+
 /// What one instance tells another about a packet that it passes on.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct Relay {
+    /// Why the packet is passed on.
+    pub purpose: Purpose,
     /// How many instances the packet has passed; at most [`MAX_HOPS`].
     pub hops: u8,
     /// The position in the candidate list of the flow.
--- a/decisions/src/status.rs
+++ b/decisions/src/status.rs
@@ -9,6 +9,7 @@
     Revision,
     ServiceId, //
 };
+use crate::packet::Reason;
 use crate::peer::{
     Member,
     MemberUpdate, //
@@ -101,6 +102,11 @@
         /// The backend server.
         backend_server: BackendServerId,
     },
+    /// It remembers that the flow was closed.
+    Closed {
+        /// Why.
+        reason: Reason,
+    },
 }
 
 /// Why a flow is where it is, as one instance sees it.
--- /dev/null
+++ b/decisions/src/upkeep.rs
@@ -0,0 +1,306 @@
+//! What an instance does as time passes: deadlines, queues, failures and idle flows.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::action::Action;
+use crate::event::{
+    Health,
+    LoadReport, //
+};
+use crate::flows::{
+    FlowKey,
+    Place, //
+};
+use crate::ids::BackendServerId;
+use crate::instance::Instance;
+use crate::occurrence::Occurrence;
+use crate::packet::Reason;
+use crate::requests::{
+    Progress,
+    RequestKey, //
+};
+use crate::servers::Phase;
+use crate::time::Time;
+
+/// Settings of flows and requests that are served here.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct HostingSettings {
+    /// How long a cancelled request may keep its slot.
+    #[serde(with = "humantime_serde")]
+    pub grace: Duration,
+    /// How long a request without a deadline may run without an answer part.
+    #[serde(with = "humantime_serde")]
+    pub stall: Duration,
+    /// How long after sending an idempotent request a repeated attempt is sent again.
+    #[serde(with = "humantime_serde")]
+    pub repeat: Duration,
+    /// How many packets of a flow its backend server leaves unanswered before the flow is silent.
+    pub unanswered: u16,
+    /// How long it leaves them unanswered.
+    #[serde(with = "humantime_serde")]
+    pub silence: Duration,
+    /// How long a redirect is kept whose flow has sent no other packet.
+    #[serde(with = "humantime_serde")]
+    pub unconfirmed: Duration,
+    /// How long a leaving instance passes packets on after it handed everything over.
+    #[serde(with = "humantime_serde")]
+    pub linger: Duration,
+    /// How long a leaving instance waits for requests that it can't hand over.
+    #[serde(with = "humantime_serde")]
+    pub shutdown: Duration,
+}
+
+impl Default for HostingSettings {
+    fn default() -> HostingSettings {
+        HostingSettings {
+            grace: Duration::from_secs(1),
+            stall: Duration::from_secs(60),
+            repeat: Duration::from_millis(250),
+            unanswered: 3,
+            silence: Duration::from_secs(5),
+            unconfirmed: Duration::from_secs(10),
+            linger: Duration::from_secs(2),
+            shutdown: Duration::from_secs(30),
+        }
+    }
+}
+
+/// The time between two passes of the upkeep while requests are in progress.
+const BUSY_PASS: Duration = Duration::from_millis(20);
+
+/// The time between two passes of the upkeep otherwise.
+const IDLE_PASS: Duration = Duration::from_millis(100);
+
+/// The time between two sweeps over all flows.
+const SWEEP: Duration = Duration::from_secs(1);
+
+impl Instance {
+    pub(crate) fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.tick_membership(now, out);
+        self.refresh_owners(now, out);
+        if now < self.next_pass {
+            return;
+        }
+        for id in self.servers.ids() {
+            self.tick_server(now, id, out);
+        }
+        self.tick_requests(now, out);
+        self.tick_spread(now, out);
+        self.register_exceptions(out);
+        if now >= self.next_sweep {
+            self.next_sweep = now + SWEEP;
+            self.sweep(now);
+        }
+        self.tick_leaving(now, out);
+        let busy = !self.requests.is_empty() || self.leaving.is_some();
+        self.next_pass = now + if busy { BUSY_PASS } else { IDLE_PASS };
+    }
+
+    fn tick_server(&mut self, now: Time, id: BackendServerId, out: &mut Vec<Action>) {
+        let settings = &self.settings.admission;
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        if matches!(server.phase, Phase::Waiting { until } if now >= until) {
+            server.phase = Phase::Active;
+        }
+        if !server.down && server.has_failed(settings, now) {
+            server.down = true;
+            out.push(Action::Note(Occurrence::ServerDown { backend_server: id }));
+            self.fail_flows(now, id, out);
+        }
+        self.expire_queue(now, id, out);
+        self.drain_queue(now, id, out);
+        let gone = !self.configuration.servers.contains_key(&id);
+        if gone && self.servers.get(id).is_some_and(|s| s.flows == 0) {
+            self.release(now, id, None, out);
+        }
+    }
+
+    fn expire_queue(&mut self, now: Time, id: BackendServerId, out: &mut Vec<Action>) {
+        loop {
+            let first = self.servers.get(id).and_then(|s| s.queue.first().copied());
+            match first {
+                Some((until, key)) if until <= now => {
+                    self.cancel_request(now, key, Reason::Overload, out);
+                }
+                _ => return,
+            }
+        }
+    }
+
+    fn tick_requests(&mut self, now: Time, out: &mut Vec<Action>) {
+        let stall = self.settings.hosting.stall;
+        let due: Vec<(RequestKey, bool)> = self
+            .requests
+            .iter()
+            .filter_map(|(key, request)| match request.progress {
+                Progress::Running => {
+                    let until = request.deadline.unwrap_or(request.sent + stall);
+                    (until <= now).then_some((key, false))
+                }
+                Progress::Cancelling { until } => (until <= now).then_some((key, true)),
+                Progress::Queued { .. } => None,
+            })
+            .collect();
+        for (key, over) in due {
+            if over {
+                self.end_request(key);
+            } else {
+                self.cancel_request(now, key, Reason::Deadline, out);
+            }
+        }
+    }
+
+    /// Ends what a failed or restarted backend server was doing. Requests without side effects that
+    /// have had no answer go on elsewhere; of others the outcome is unknown.
+    fn fail_flows(&mut self, now: Time, id: BackendServerId, out: &mut Vec<Action>) {
+        let place = Place::Hosted(id);
+        let keys: Vec<FlowKey> = self
+            .flows
+            .iter()
+            .filter(|(_, flow)| flow.place == place)
+            .map(|(key, _)| key)
+            .collect();
+        for key in keys {
+            let Some(flow) = self.flows.get_mut(key) else {
+                continue;
+            };
+            flow.opened = false;
+            let Some(head) = flow.requests else {
+                continue;
+            };
+            if !self.move_request(now, key, head, out) {
+                self.close_flow(now, key, Reason::ServerFailed, out);
+            }
+        }
+    }
+
+    /// Moves the only request of a flow to another backend server if that does no harm.
+    fn move_request(
+        &mut self,
+        now: Time,
+        flow: FlowKey,
+        key: RequestKey,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let Some(request) = self.requests.get(key) else {
+            return false;
+        };
+        let harmless = request.idempotent || request.sends == 0;
+        let running = !matches!(request.progress, Progress::Cancelling { .. });
+        if !harmless || !running || request.next.is_some() || request.packet.is_none() {
+            return false;
+        }
+        let Some(request) = self.end_request(key) else {
+            return false;
+        };
+        let copy = request.clone();
+        if self.retry(now, flow, request, out) {
+            return true;
+        }
+        self.report_end(flow, copy.id, copy.sends > 0, Reason::ServerFailed, out);
+        true
+    }
+
+    pub(crate) fn on_health(
+        &mut self,
+        now: Time,
+        id: BackendServerId,
+        health: Health,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        server.health = health;
+        match health {
+            Health::Serving => {
+                server.missed = 0;
+                // A false report is found out by the silence of the packets.
+                if std::mem::replace(&mut server.down, false) {
+                    server.asked = None;
+                    server.warmup.restart(now);
+                    out.push(Action::Note(Occurrence::ServerUp { backend_server: id }));
+                }
+            }
+            Health::NotServing | Health::Unreachable => server.missed += 1,
+        }
+        self.drain_queue(now, id, out);
+    }
+
+    pub(crate) fn on_load(
+        &mut self,
+        now: Time,
+        id: BackendServerId,
+        report: LoadReport,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        if server.note_report(report, now) {
+            server.warmup.restart(now);
+            out.push(Action::Note(Occurrence::ColdStart { backend_server: id }));
+            self.fail_flows(now, id, out);
+        }
+        self.drain_queue(now, id, out);
+    }
+
+    /// Removes idle flows, old redirects and closed flows.
+    fn sweep(&mut self, now: Time) {
+        let hosting = &self.settings.hosting;
+        let memory = self.settings.ownership.memory;
+        let services = &self.configuration.services;
+        let idle = |service| services.get(&service).map_or(memory, |s| s.idle);
+        let old: Vec<FlowKey> = self
+            .flows
+            .iter()
+            .filter(|(_, flow)| {
+                let age = now.since(flow.seen);
+                match flow.place {
+                    Place::Hosted(_) => flow.requests.is_none() && age >= idle(flow.service),
+                    Place::Redirected(_) if flow.opened => age >= idle(flow.service),
+                    Place::Redirected(_) => age >= hosting.unconfirmed,
+                    Place::Closed(_) => age >= memory,
+                }
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in old {
+            self.remove_flow(key);
+        }
+        self.handed.retain(|_, (at, _)| now.since(*at) < memory);
+    }
+
+    pub(crate) fn on_leave(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.leaving.is_some() {
+            return;
+        }
+        self.leaving = Some(now);
+        self.next_pass = now;
+        out.push(Action::Note(Occurrence::Leaving));
+        self.membership.leaving(now);
+        self.refresh_owners(now, out);
+    }
+
+    /// Stops once everything is handed over and no packet has to be passed on any more.
+    fn tick_leaving(&mut self, now: Time, out: &mut Vec<Action>) {
+        let Some(since) = self.leaving else {
+            return;
+        };
+        let elapsed = now.since(since);
+        let hosting = &self.settings.hosting;
+        let done = self.requests.is_empty() && elapsed >= hosting.linger;
+        if self.stopped || !(done || elapsed >= hosting.shutdown) {
+            return;
+        }
+        self.stopped = true;
+        self.membership.leave(now, out);
+        out.push(Action::Note(Occurrence::Left));
+        out.push(Action::Stop);
+    }
+}
