--- a/decisions/src/config_error.rs
+++ b/decisions/src/config_error.rs
@@ -55,6 +55,14 @@
         /// The revision of the configuration.
         present: Revision,
     },
+    /// The identifier of an availability zone is a hash of its name, and another one has it.
+    #[error("the name of availability zone {name:?} collides with {other:?}: choose another name")]
+    ZoneHash {
+        /// The name of the new zone.
+        name: String,
+        /// The name of the zone that has the identifier.
+        other: String,
+    },
     /// The operation was applied before.
     #[error(
         "operation {operation} was applied at revision {revision}: \
--- a/decisions/src/config_plan.rs
+++ b/decisions/src/config_plan.rs
@@ -116,7 +116,13 @@
         if self.zones.find(name).is_some() {
             return Err(exists(Kind::Zone, name));
         }
-        let id = ZoneId(self.take_id()?);
+        let id = ZoneId::of(name);
+        if let Some(other) = self.zones.get(id) {
+            return Err(ConfigError::ZoneHash {
+                name: name.to_owned(),
+                other: other.name.clone(),
+            });
+        }
         let zone = Zone {
             id,
             name: name.to_owned(),
--- a/decisions/src/ids.rs
+++ b/decisions/src/ids.rs
@@ -1,5 +1,7 @@
 //! Identifiers that mean the same at every instance.
 
+use siphasher::sip::SipHasher13;
+
 macro_rules! id {
     ($(#[$doc:meta])* $name:ident($inner:ty)) => {
         $(#[$doc])*
@@ -20,10 +22,19 @@
 }
 
 id! {
-    /// Identifies an availability zone; assigned by the configuration and never reused.
+    /// Identifies an availability zone: a hash of its name, so that an instance knows the identifier
+    /// of its own zone before it has a configuration.
     ZoneId(u32)
 }
 
+impl ZoneId {
+    /// Returns the identifier of the zone of that name.
+    pub fn of(name: &str) -> ZoneId {
+        let hash = SipHasher13::new().hash(name.as_bytes());
+        ZoneId((hash ^ (hash >> 32)) as u32)
+    }
+}
+
 id! {
     /// Identifies a pool; assigned by the configuration and never reused.
     PoolId(u32)
