--- a/decisions/src/config_restore.rs
+++ b/decisions/src/config_restore.rs
@@ -16,7 +16,8 @@
 };
 use crate::ids::{
     OperationId,
-    Revision, //
+    Revision,
+    ZoneId, //
 };
 
 /// The stored parts of a configuration. Order within a list does not matter, but for operations.
@@ -68,8 +69,13 @@
     fn restore_zone(&mut self, zone: Zone) -> Result<(), ConfigError> {
         check::name(Kind::Zone, &zone.name)?;
         check::name(Kind::Region, &zone.region)?;
-        let free = !self.zones.contains_key(&zone.id);
-        self.require(Kind::Zone, zone.id.0, free)?;
+        let right = zone.id == ZoneId::of(&zone.name);
+        if !right || self.zones.contains_key(&zone.id) {
+            return Err(ConfigError::Inconsistent {
+                kind: Kind::Zone,
+                id: zone.id.0,
+            });
+        }
         require_new(Kind::Zone, &zone.name, self.zone_named(&zone.name))?;
         self.index.add_zone(&zone);
         self.zones.insert(zone.id, zone);
