Add the datagram codec and the sockets towards callers and backend servers

The end-to-end path needs packets in and out of a process.

The codec uses the proxy-header package: it borrows TLVs while parsing and allocates once while encoding. Payloads are copied, so that a queued packet holds no receive buffer. Each defect has a type and is counted by kind.

CallerSocket and BackendSocket each own their socket. A task receives up to 64 datagrams per wake-up and sends them as one batch; a batch that finds the consumer's mailbox full for 20 ms is dropped and counted.

--- /dev/null
+++ b/backend-servers/src/socket.rs
@@ -0,0 +1,141 @@
+//! The actor that owns the socket towards backend servers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use kameo::actor::{
+    Actor,
+    ActorRef,
+    Recipient, //
+};
+use kameo::error::Infallible;
+use kameo::message::{
+    Context,
+    Message, //
+};
+use lovagespindle_datagram::socket::{
+    SocketError,
+    bind,
+    local_address, //
+};
+use lovagespindle_datagram::{
+    Clock,
+    Counts,
+    Receiver,
+    Sender,
+    Services, //
+};
+use lovagespindle_decisions::Event;
+use lovagespindle_decisions::packet::Packet;
+
+use crate::ingress::{
+    ServerIngress,
+    Update, //
+};
+use crate::servers::Servers;
+use crate::settings::Settings;
+
+/// What a [`BackendSocket`] starts with.
+pub struct Arguments {
+    /// Its settings.
+    pub settings: Settings,
+    /// The clock of the process.
+    pub clock: Clock,
+    /// The services known so far.
+    pub services: Services,
+    /// The backend servers known so far.
+    pub servers: Servers,
+    /// Who takes the events.
+    pub consumer: Recipient<Vec<Event>>,
+}
+
+/// Owns the socket towards backend servers.
+pub struct BackendSocket {
+    address: SocketAddr,
+    sender: Sender,
+    receiver: Receiver<Update>,
+}
+
+impl Actor for BackendSocket {
+    type Args = Arguments;
+    type Error = SocketError;
+
+    async fn on_start(
+        arguments: Arguments,
+        _actor: ActorRef<BackendSocket>,
+    ) -> Result<BackendSocket, SocketError> {
+        let settings = arguments.settings;
+        let socket = Arc::new(bind(settings.listen, settings.receive_buffer)?);
+        let ingress = ServerIngress {
+            services: arguments.services,
+            servers: arguments.servers,
+        };
+        Ok(BackendSocket {
+            address: local_address(&socket)?,
+            sender: Sender::new(socket.clone(), arguments.clock),
+            receiver: Receiver::start(socket, arguments.clock, ingress, arguments.consumer),
+        })
+    }
+}
+
+/// Sends packets to the backend servers at these addresses.
+pub struct SendPackets(pub Vec<(SocketAddr, Packet)>);
+
+impl Message<SendPackets> for BackendSocket {
+    type Reply = ();
+
+    async fn handle(&mut self, message: SendPackets, _context: &mut Context<Self, ()>) {
+        for (to, packet) in &message.0 {
+            self.sender.send(*to, packet, None).await;
+        }
+    }
+}
+
+/// Replaces the services.
+pub struct SetServices(pub Services);
+
+impl Message<SetServices> for BackendSocket {
+    type Reply = ();
+
+    async fn handle(&mut self, message: SetServices, _context: &mut Context<Self, ()>) {
+        self.receiver.update(Update::Services(message.0)).await;
+    }
+}
+
+/// Replaces the backend servers.
+pub struct SetServers(pub Servers);
+
+impl Message<SetServers> for BackendSocket {
+    type Reply = ();
+
+    async fn handle(&mut self, message: SetServers, _context: &mut Context<Self, ()>) {
+        self.receiver.update(Update::Servers(message.0)).await;
+    }
+}
+
+/// Asks for the counts.
+pub struct GetCounts;
+
+impl Message<GetCounts> for BackendSocket {
+    type Reply = Counts;
+
+    async fn handle(&mut self, _: GetCounts, _context: &mut Context<Self, Counts>) -> Counts {
+        let counts = self.receiver.counts().await;
+        counts.with_sender(self.sender.counts())
+    }
+}
+
+/// Asks for the local address.
+pub struct GetAddress;
+
+impl Message<GetAddress> for BackendSocket {
+    type Reply = Result<SocketAddr, Infallible>;
+
+    async fn handle(
+        &mut self,
+        _: GetAddress,
+        _context: &mut Context<Self, Result<SocketAddr, Infallible>>,
+    ) -> Result<SocketAddr, Infallible> {
+        Ok(self.address)
+    }
+}
--- a/datagram/src/lib.rs
+++ b/datagram/src/lib.rs
@@ -1,1 +1,35 @@
 //! Datagram codec shared by callers, instances and backend servers.
+//!
+//! A datagram is a PROXY protocol version 2 header with TLVs, followed by the payload. The
+//! package also has the parts that every datagram socket of a process needs: the clock, the
+//! receiving task, the sender and the counts.
+
+pub mod clock;
+pub mod counts;
+pub mod decode;
+pub mod encode;
+pub mod error;
+pub mod field;
+pub mod flow;
+pub mod receive;
+pub mod send;
+pub mod services;
+pub mod socket;
+
+pub use clock::Clock;
+pub use counts::Counts;
+pub use decode::Datagram;
+pub use encode::encode;
+pub use error::{
+    DecodeError,
+    Defect,
+    EncodeError, //
+};
+pub use field::Field;
+pub use flow::flow_id;
+pub use receive::{
+    Ingress,
+    Receiver, //
+};
+pub use send::Sender;
+pub use services::Services;
