--- a/datagram/src/decode.rs
+++ b/datagram/src/decode.rs
@@ -14,6 +14,7 @@
     MAX_PAYLOAD,
     Packet,
     PacketKind,
+    Purpose,
     Reason,
     Relay,
     Route, //
@@ -250,11 +251,13 @@
 }
 
 fn relay(value: &[u8]) -> Result<Relay, DecodeError> {
-    let [hops, candidate, table, a, b, c, d] = exact(Field::Relay, value)?;
+    let [purpose, hops, candidate, table, a, b, c, d] = exact(Field::Relay, value)?;
+    let purpose = Purpose::from_repr(purpose).ok_or(DecodeError::UnknownPurpose(purpose))?;
     if hops > MAX_HOPS {
         return Err(DecodeError::Hops(hops));
     }
     Ok(Relay {
+        purpose,
         hops,
         candidate,
         table,
--- a/datagram/src/encode.rs
+++ b/datagram/src/encode.rs
@@ -80,7 +80,16 @@
     [a, b, c, d, u8::from(packet.last)]
 }
 
-fn relay_bytes(relay: &Relay) -> [u8; 7] {
+fn relay_bytes(relay: &Relay) -> [u8; 8] {
     let [a, b, c, d] = relay.backend_server.0.to_be_bytes();
-    [relay.hops, relay.candidate, relay.table, a, b, c, d]
+    [
+        relay.purpose as u8,
+        relay.hops,
+        relay.candidate,
+        relay.table,
+        a,
+        b,
+        c,
+        d,
+    ]
 }
--- a/datagram/src/error.rs
+++ b/datagram/src/error.rs
@@ -69,6 +69,9 @@
     /// The reason is unknown.
     #[error("unknown reason {0}")]
     UnknownReason(u8),
+    /// The purpose of a relayed packet is unknown.
+    #[error("unknown relay purpose {0}")]
+    UnknownPurpose(u8),
     /// A flag is neither 0 nor 1.
     #[error("the flag in the {field} TLV is {value}")]
     Flag {
--- a/datagram/tests/codec_tests.rs
+++ b/datagram/tests/codec_tests.rs
@@ -31,6 +31,7 @@
     MAX_PAYLOAD,
     Packet,
     PacketKind,
+    Purpose,
     Relay, //
 };
 use lovagespindle_stand_ins::cases;
@@ -193,6 +194,7 @@
 /// Guards against a caller or backend server that steers a packet with the relay TLV.
 fn relay_only_from_instances() {
     let relay = Relay {
+        purpose: Purpose::Find,
         hops: 1,
         candidate: 0,
         table: 0,
--- a/datagram/tests/common/mod.rs
+++ b/datagram/tests/common/mod.rs
@@ -17,6 +17,7 @@
     MAX_PAYLOAD,
     Packet,
     PacketKind,
+    Purpose,
     Reason,
     Relay,
     Route, //
@@ -92,6 +93,7 @@
         let length = usize::arbitrary(g) % (MAX_PAYLOAD + 1);
         packet.payload = (0..length).map(|i| i as u8).collect();
         let relay = bool::arbitrary(g).then(|| Relay {
+            purpose: Purpose::from_repr(1 + u8::arbitrary(g) % 4).unwrap(),
             hops: u8::arbitrary(g) % (MAX_HOPS + 1),
             candidate: u8::arbitrary(g),
             table: u8::arbitrary(g),
--- a/decisions/src/instance.rs
+++ b/decisions/src/instance.rs
@@ -1,5 +1,7 @@
 //! The decision state of one instance.
 
+use std::sync::Arc;
+
 use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
 use rustc_hash::FxHashMap;
@@ -94,7 +96,7 @@
     pub(crate) rng: Pcg32,
     pub(crate) membership: Membership,
     /// Its revision only rises.
-    pub(crate) configuration: Configuration,
+    pub(crate) configuration: Arc<Configuration>,
     pub(crate) tables: Tables,
     pub(crate) owners: Owners,
     /// The membership's generation and the revision that ownership was last computed from.
@@ -132,7 +134,7 @@
             membership: Membership::new(update, settings.membership.clone(), seed),
             settings,
             rng: Pcg32::seed_from_u64(!seed),
-            configuration: Configuration::default(),
+            configuration: Arc::default(),
             tables: Tables::default(),
             owners: Owners::default(),
             refreshed: None,
@@ -281,7 +283,7 @@
     }
 
     /// Returns the configuration in force.
-    pub fn configuration(&self) -> &Configuration {
+    pub fn configuration(&self) -> &Arc<Configuration> {
         &self.configuration
     }
 
--- a/decisions/src/spread.rs
+++ b/decisions/src/spread.rs
@@ -122,7 +122,10 @@
                 });
                 break;
             }
-            if self.configuration.apply(&record).is_err() {
+            if Arc::make_mut(&mut self.configuration)
+                .apply(&record)
+                .is_err()
+            {
                 // The record was checked before it was written, so this instance's configuration
                 // differs from the log. A snapshot replaces it.
                 self.counters.add(crate::counter::Counter::BadRecords);
@@ -145,7 +148,7 @@
         if snapshot.revision <= self.configuration.revision {
             return;
         }
-        self.configuration = snapshot.as_ref().clone();
+        self.configuration = snapshot.clone();
         self.spread.records.clear();
         self.reconfigure(now, out);
     }
