--- a/datagram/tests/codec_tests.rs
+++ b/datagram/tests/codec_tests.rs
@@ -272,9 +272,13 @@
         refuses(|b| write(b, Field::Idempotent, 0, 2), flag(Field::Idempotent, 2));
     last_flag_is_two => refuses(|b| write(b, Field::Part, 4, 2), flag(Field::Part, 2));
     relay_passed_too_many => refuses(
-        |b| insert(b, Field::Relay as u8, &[MAX_HOPS + 1, 0, 0, 0, 0, 0, 1]),
+        |b| insert(b, Field::Relay as u8, &[1, MAX_HOPS + 1, 0, 0, 0, 0, 0, 1]),
         DecodeError::Hops(MAX_HOPS + 1),
     );
+    relay_purpose_is_unknown => refuses(
+        |b| insert(b, Field::Relay as u8, &[9, 0, 0, 0, 0, 0, 0, 1]),
+        DecodeError::UnknownPurpose(9),
+    );
     custom_tlv_is_unknown => refuses(|b| insert(b, 0xe8, &[1]), DecodeError::UnknownTlv(0xe8));
     unique_id_is_short =>
         refuses(|b| { remove(b, Field::UniqueId); insert(b, 5, &[1]) }, length(Field::UniqueId, 1));
