Add a stand-in for the platform's key-value service

Its state is owned by one task. Tests can take it down, slow it, lose the answer of a write that took effect, freeze the instance list, end leases, break watches and drop the history. It refuses values over one megabyte and counts calls.

--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -1,1 +1,7 @@
 //! Stand-ins for fabric, callers, backend servers and the platform.
+
+pub mod platform;
+mod platform_calls;
+mod platform_data;
+mod platform_lease;
+mod platform_watch;
--- /dev/null
+++ b/stand-ins/src/platform.rs
@@ -0,0 +1,183 @@
+//! Stand-in for the platform's key-value service, with faults.
+
+use std::io;
+use std::net::{
+    Ipv4Addr,
+    SocketAddr, //
+};
+use std::time::Duration;
+
+use bytes::Bytes;
+use lovagespindle_decisions::event::Listed;
+use lovagespindle_platform::codec::encode_list;
+use lovagespindle_platform::generated::etcdserverpb::kv_server::KvServer;
+use lovagespindle_platform::generated::etcdserverpb::lease_server::LeaseServer;
+use lovagespindle_platform::generated::etcdserverpb::watch_server::WatchServer;
+use lovagespindle_platform::keys;
+use tokio::net::TcpListener;
+use tokio::sync::{
+    mpsc,
+    oneshot, //
+};
+use tokio::task::JoinSet;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::Status;
+use tonic::transport::Server;
+
+use crate::platform_calls::Calls;
+use crate::platform_data::Data;
+
+/// How many calls the service got. Calls count even if it is down.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Counts {
+    /// Reads.
+    pub ranges: u64,
+    /// Single writes.
+    pub puts: u64,
+    /// Deletions.
+    pub deletes: u64,
+    /// Transactions.
+    pub txns: u64,
+    /// Grants, renewals and revocations of leases.
+    pub leases: u64,
+    /// Watches that were opened; each counts once however long it waits.
+    pub watches: u64,
+    /// Watches that wait at the moment.
+    pub waiting: usize,
+    /// The length of the longest value that was written.
+    pub longest: usize,
+}
+
+impl Counts {
+    /// Returns the number of calls.
+    pub fn calls(&self) -> u64 {
+        self.ranges + self.puts + self.deletes + self.txns + self.leases + self.watches
+    }
+}
+
+/// The service's state is owned by one task, which runs these one after the other.
+type Job = Box<dyn FnOnce(&mut Data) + Send>;
+
+/// Passes jobs to the task that owns the state.
+#[derive(Clone)]
+pub(crate) struct Jobs(mpsc::UnboundedSender<Job>);
+
+impl Jobs {
+    /// Runs a job and returns its result.
+    pub(crate) async fn run<T: Send + 'static>(
+        &self,
+        job: impl FnOnce(&mut Data) -> T + Send + 'static,
+    ) -> Result<T, Status> {
+        let (answer, wait) = oneshot::channel();
+        let job: Job = Box::new(move |data| {
+            // Nobody waits if the call was cancelled.
+            let _ = answer.send(job(data));
+        });
+        let stopped = || Status::unavailable("the stand-in has stopped");
+        self.0.send(job).map_err(|_| stopped())?;
+        wait.await.map_err(|_| stopped())
+    }
+}
+
+/// A running stand-in. Dropping it stops the service.
+pub struct Platform {
+    address: SocketAddr,
+    jobs: Jobs,
+    _tasks: JoinSet<()>,
+}
+
+impl Platform {
+    /// Starts the service on a free loopback port.
+    pub async fn start() -> io::Result<Platform> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let jobs = Jobs(sender);
+        let mut tasks = JoinSet::new();
+        tasks.spawn(own(receiver));
+        tasks.spawn(serve(listener, Calls::new(jobs.clone())));
+        Ok(Platform {
+            address,
+            jobs,
+            _tasks: tasks,
+        })
+    }
+
+    /// Returns the URL of the service.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Refuses all calls and ends all watches (true), or answers again (false).
+    pub async fn set_down(&self, down: bool) -> Result<(), Status> {
+        self.jobs.run(move |data| data.set_down(down)).await
+    }
+
+    /// Holds each call back for `delay` before it takes effect.
+    pub async fn set_delay(&self, delay: Duration) -> Result<(), Status> {
+        self.jobs.run(move |data| data.faults.delay = delay).await
+    }
+
+    /// Loses the answer of the next call that changes a key.
+    pub async fn lose_next_answer(&self) -> Result<(), Status> {
+        self.jobs.run(|data| data.faults.lose = true).await
+    }
+
+    /// Shows the list of instances as it is now (true), whatever is written, or as it is written
+    /// (false).
+    pub async fn lag_list(&self, lag: bool) -> Result<(), Status> {
+        self.jobs.run(move |data| data.lag(lag)).await
+    }
+
+    /// Writes the list of one zone's instances.
+    pub async fn set_list(&self, zone: &str, list: &[Listed]) -> Result<(), Status> {
+        self.put(keys::instances(zone), encode_list(list)).await
+    }
+
+    /// Ends all leases.
+    pub async fn expire_leases(&self) -> Result<(), Status> {
+        self.jobs.run(Data::expire_all).await
+    }
+
+    /// Ends all watches, as a broken connection does.
+    pub async fn break_watches(&self) -> Result<(), Status> {
+        self.jobs.run(Data::break_watches).await
+    }
+
+    /// Drops the history, so that no watch can start before now.
+    pub async fn compact(&self) -> Result<(), Status> {
+        self.jobs.run(Data::compact).await
+    }
+
+    /// Writes a key without a call.
+    pub async fn put(&self, key: Bytes, value: Bytes) -> Result<(), Status> {
+        self.jobs.run(|data| data.write_one(key, value, 0)).await
+    }
+
+    /// Returns the keys with a prefix.
+    pub async fn keys(&self, prefix: &'static str) -> Result<Vec<Bytes>, Status> {
+        self.jobs.run(move |data| data.keys(prefix)).await
+    }
+
+    /// Returns the counts.
+    pub async fn counts(&self) -> Result<Counts, Status> {
+        self.jobs.run(|data| data.counts()).await
+    }
+}
+
+async fn own(mut jobs: mpsc::UnboundedReceiver<Job>) {
+    let mut data = Data::default();
+    while let Some(job) = jobs.recv().await {
+        job(&mut data);
+    }
+}
+
+async fn serve(listener: TcpListener, calls: Calls) {
+    // Fails only if the listener breaks; the clients then see an outage.
+    let _ = Server::builder()
+        .add_service(KvServer::new(calls.clone()))
+        .add_service(WatchServer::new(calls.clone()))
+        .add_service(LeaseServer::new(calls))
+        .serve_with_incoming(TcpListenerStream::new(listener))
+        .await;
+}
--- /dev/null
+++ b/stand-ins/src/platform_calls.rs
@@ -0,0 +1,184 @@
+//! Remote procedure calls of the stand-in platform.
+
+use std::mem;
+
+use lovagespindle_platform::generated::etcdserverpb::kv_server::Kv;
+use lovagespindle_platform::generated::etcdserverpb::lease_server::Lease;
+use lovagespindle_platform::generated::etcdserverpb::watch_request::RequestUnion;
+use lovagespindle_platform::generated::etcdserverpb::watch_server::Watch;
+use lovagespindle_platform::generated::etcdserverpb::{
+    DeleteRangeRequest,
+    DeleteRangeResponse,
+    LeaseGrantRequest,
+    LeaseGrantResponse,
+    LeaseKeepAliveRequest,
+    LeaseKeepAliveResponse,
+    LeaseRevokeRequest,
+    LeaseRevokeResponse,
+    PutRequest,
+    PutResponse,
+    RangeRequest,
+    RangeResponse,
+    TxnRequest,
+    TxnResponse,
+    WatchRequest,
+    WatchResponse, //
+};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio_stream::wrappers::UnboundedReceiverStream;
+use tonic::{
+    Request,
+    Response,
+    Status,
+    Streaming, //
+};
+
+use crate::platform::Jobs;
+use crate::platform_data::Data;
+
+/// The service as clients see it.
+#[derive(Clone)]
+pub(crate) struct Calls {
+    jobs: Jobs,
+}
+
+type Answer<T> = Result<Response<T>, Status>;
+type Answers<T> = UnboundedReceiverStream<Result<T, Status>>;
+
+impl Calls {
+    pub(crate) fn new(jobs: Jobs) -> Calls {
+        Calls { jobs }
+    }
+
+    /// Counts and runs a call with the faults that are set.
+    async fn call<T: Send + 'static>(
+        &self,
+        count: impl FnOnce(&mut Data) + Send + 'static,
+        run: impl FnOnce(&mut Data) -> Result<T, Status> + Send + 'static,
+    ) -> Result<T, Status> {
+        let counted = move |data: &mut Data| {
+            count(data);
+            require_up(data).map(|()| data.faults.delay)
+        };
+        let delay = self.jobs.run(counted).await??;
+        tokio::time::sleep(delay).await;
+        self.jobs.run(move |data| run_or_lose(data, run)).await?
+    }
+}
+
+fn require_up(data: &Data) -> Result<(), Status> {
+    match data.faults.down {
+        true => Err(Status::unavailable("the service is down")),
+        false => Ok(()),
+    }
+}
+
+fn run_or_lose<T>(
+    data: &mut Data,
+    run: impl FnOnce(&mut Data) -> Result<T, Status>,
+) -> Result<T, Status> {
+    require_up(data)?;
+    data.expire(Instant::now());
+    let before = data.revision;
+    let answer = run(data)?;
+    if data.revision > before && mem::take(&mut data.faults.lose) {
+        return Err(Status::unavailable("the connection broke"));
+    }
+    Ok(answer)
+}
+
+#[tonic::async_trait]
+impl Kv for Calls {
+    async fn range(&self, request: Request<RangeRequest>) -> Answer<RangeResponse> {
+        let request = request.into_inner();
+        let run = move |data: &mut Data| Ok(data.range(&request));
+        let answer = self.call(|data| data.counts.ranges += 1, run);
+        answer.await.map(Response::new)
+    }
+
+    async fn put(&self, request: Request<PutRequest>) -> Answer<PutResponse> {
+        let request = request.into_inner();
+        let run = move |data: &mut Data| data.put(request);
+        let answer = self.call(|data| data.counts.puts += 1, run);
+        answer.await.map(Response::new)
+    }
+
+    async fn delete_range(
+        &self,
+        request: Request<DeleteRangeRequest>,
+    ) -> Answer<DeleteRangeResponse> {
+        let request = request.into_inner();
+        let run = move |data: &mut Data| Ok(data.delete_range(&request));
+        let answer = self.call(|data| data.counts.deletes += 1, run);
+        answer.await.map(Response::new)
+    }
+
+    async fn txn(&self, request: Request<TxnRequest>) -> Answer<TxnResponse> {
+        let request = request.into_inner();
+        let run = move |data: &mut Data| data.txn(request);
+        let answer = self.call(|data| data.counts.txns += 1, run);
+        answer.await.map(Response::new)
+    }
+}
+
+#[tonic::async_trait]
+impl Lease for Calls {
+    type LeaseKeepAliveStream = Answers<LeaseKeepAliveResponse>;
+
+    async fn lease_grant(&self, request: Request<LeaseGrantRequest>) -> Answer<LeaseGrantResponse> {
+        let request = request.into_inner();
+        let run = move |data: &mut Data| data.grant(&request, Instant::now());
+        let answer = self.call(|data| data.counts.leases += 1, run);
+        answer.await.map(Response::new)
+    }
+
+    async fn lease_revoke(
+        &self,
+        request: Request<LeaseRevokeRequest>,
+    ) -> Answer<LeaseRevokeResponse> {
+        let id = request.into_inner().id;
+        let run = move |data: &mut Data| data.revoke(id);
+        let answer = self.call(|data| data.counts.leases += 1, run);
+        answer.await.map(Response::new)
+    }
+
+    async fn lease_keep_alive(
+        &self,
+        request: Request<Streaming<LeaseKeepAliveRequest>>,
+    ) -> Answer<Self::LeaseKeepAliveStream> {
+        let mut requests = request.into_inner();
+        let (answers, stream) = mpsc::unbounded_channel();
+        let calls = self.clone();
+        tokio::spawn(async move {
+            while let Ok(Some(LeaseKeepAliveRequest { id })) = requests.message().await {
+                let run = move |data: &mut Data| Ok(data.keep_alive(id, Instant::now()));
+                let answer = calls.call(|data| data.counts.leases += 1, run).await;
+                if answers.send(answer).is_err() {
+                    return;
+                }
+            }
+        });
+        Ok(Response::new(UnboundedReceiverStream::new(stream)))
+    }
+}
+
+#[tonic::async_trait]
+impl Watch for Calls {
+    type WatchStream = Answers<WatchResponse>;
+
+    async fn watch(&self, request: Request<Streaming<WatchRequest>>) -> Answer<Self::WatchStream> {
+        let mut requests = request.into_inner();
+        let create = match requests.message().await?.and_then(|r| r.request_union) {
+            Some(RequestUnion::CreateRequest(create)) => create,
+            None => return Err(Status::invalid_argument("the watch is not described")),
+        };
+        let (responses, stream) = mpsc::unbounded_channel();
+        let open = move |data: &mut Data| {
+            data.watches.open(data.revision, create, responses);
+            Ok(())
+        };
+        self.call(|data| data.counts.watches += 1, open).await?;
+        Ok(Response::new(UnboundedReceiverStream::new(stream)))
+    }
+}
--- /dev/null
+++ b/stand-ins/src/platform_data.rs
@@ -0,0 +1,286 @@
+//! Keys of the stand-in platform with their history.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use lovagespindle_platform::generated::etcdserverpb::compare::{
+    CompareResult,
+    TargetUnion, //
+};
+use lovagespindle_platform::generated::etcdserverpb::range_request::SortOrder;
+use lovagespindle_platform::generated::etcdserverpb::request_op::Request;
+use lovagespindle_platform::generated::etcdserverpb::response_op::Response;
+use lovagespindle_platform::generated::etcdserverpb::{
+    Compare,
+    DeleteRangeRequest,
+    DeleteRangeResponse,
+    PutRequest,
+    PutResponse,
+    RangeRequest,
+    RangeResponse,
+    RequestOp,
+    ResponseHeader,
+    ResponseOp,
+    TxnRequest,
+    TxnResponse, //
+};
+use lovagespindle_platform::generated::mvccpb::event::EventType;
+use lovagespindle_platform::generated::mvccpb::{
+    Event,
+    KeyValue, //
+};
+use tonic::Status;
+
+use crate::platform::Counts;
+use crate::platform_lease::Leases;
+use crate::platform_watch::Watches;
+
+/// The service takes values up to one megabyte.
+const MAX_VALUE: usize = 1_000_000;
+
+const LIST: &[u8] = b"instances/";
+
+/// What goes wrong.
+#[derive(Default)]
+pub(crate) struct Faults {
+    pub(crate) down: bool,
+    pub(crate) delay: Duration,
+    /// Whether the answer of the next write is lost.
+    pub(crate) lose: bool,
+}
+
+/// The state of the service.
+#[derive(Default)]
+pub(crate) struct Data {
+    pub(crate) faults: Faults,
+    pub(crate) counts: Counts,
+    pub(crate) leases: Leases,
+    pub(crate) watches: Watches,
+    /// Raised by each call that changes a key.
+    pub(crate) revision: i64,
+    rows: BTreeMap<Bytes, KeyValue>,
+    /// The list of instances as it is shown while it lags.
+    lagging: Option<BTreeMap<Bytes, KeyValue>>,
+    /// The changes of the present call.
+    changed: Vec<Event>,
+}
+
+impl Data {
+    pub(crate) fn range(&self, request: &RangeRequest) -> RangeResponse {
+        let mut kvs: Vec<_> = self.found(&request.key, &request.range_end);
+        if request.sort_order == i32::from(SortOrder::Descend) {
+            kvs.reverse();
+        }
+        let count = kvs.len();
+        let limit = usize::try_from(request.limit).unwrap_or(0);
+        if limit > 0 {
+            kvs.truncate(limit);
+        }
+        let more = kvs.len() < count;
+        if request.keys_only {
+            kvs.iter_mut().for_each(|kv| kv.value = Bytes::new());
+        }
+        RangeResponse {
+            header: self.header(),
+            kvs,
+            more,
+            count: i64::try_from(count).unwrap_or(i64::MAX),
+        }
+    }
+
+    pub(crate) fn put(&mut self, request: PutRequest) -> Result<PutResponse, Status> {
+        self.check(&request)?;
+        self.write_one(request.key, request.value, request.lease);
+        let header = self.header();
+        Ok(PutResponse { header })
+    }
+
+    pub(crate) fn delete_range(&mut self, request: &DeleteRangeRequest) -> DeleteRangeResponse {
+        let deleted = self.delete(request);
+        self.commit();
+        let header = self.header();
+        DeleteRangeResponse { header, deleted }
+    }
+
+    pub(crate) fn txn(&mut self, request: TxnRequest) -> Result<TxnResponse, Status> {
+        let succeeded = request.compare.iter().all(|c| self.holds(c));
+        let ops = match succeeded {
+            true => request.success,
+            false => request.failure,
+        };
+        for op in &ops {
+            if let Some(Request::RequestPut(put)) = &op.request {
+                self.check(put)?;
+            }
+        }
+        let responses = ops.into_iter().map(|op| self.run(op)).collect();
+        self.commit();
+        Ok(TxnResponse {
+            header: self.header(),
+            succeeded,
+            responses,
+        })
+    }
+
+    pub(crate) fn write_one(&mut self, key: Bytes, value: Bytes, lease: i64) {
+        self.write(key, value, lease);
+        self.commit();
+    }
+
+    pub(crate) fn delete_keys(&mut self, keys: Vec<Bytes>) {
+        for key in keys {
+            let range_end = Bytes::new();
+            self.delete(&DeleteRangeRequest { key, range_end });
+        }
+        self.commit();
+    }
+
+    pub(crate) fn set_down(&mut self, down: bool) {
+        self.faults.down = down;
+        if down {
+            self.break_watches();
+        }
+    }
+
+    pub(crate) fn break_watches(&mut self) {
+        self.watches.end();
+    }
+
+    pub(crate) fn compact(&mut self) {
+        self.watches.compact(self.revision);
+    }
+
+    pub(crate) fn lag(&mut self, lag: bool) {
+        let list = self.rows.iter().filter(|(key, _)| key.starts_with(LIST));
+        self.lagging = lag.then(|| list.map(|(k, v)| (k.clone(), v.clone())).collect());
+    }
+
+    pub(crate) fn keys(&self, prefix: &str) -> Vec<Bytes> {
+        let keys = self.rows.keys();
+        let found = keys.filter(|k| k.starts_with(prefix.as_bytes()));
+        found.cloned().collect()
+    }
+
+    pub(crate) fn counts(&mut self) -> Counts {
+        Counts {
+            waiting: self.watches.waiting(),
+            ..self.counts
+        }
+    }
+
+    pub(crate) fn header(&self) -> Option<ResponseHeader> {
+        let revision = self.revision;
+        Some(ResponseHeader { revision })
+    }
+
+    fn check(&self, put: &PutRequest) -> Result<(), Status> {
+        if put.value.len() > MAX_VALUE {
+            return Err(Status::invalid_argument("the value is too long"));
+        }
+        if put.lease != 0 && !self.leases.holds(put.lease) {
+            return Err(Status::not_found("requested lease not found"));
+        }
+        Ok(())
+    }
+
+    fn run(&mut self, op: RequestOp) -> ResponseOp {
+        let response = op.request.map(|request| match request {
+            Request::RequestRange(range) => Response::ResponseRange(self.range(&range)),
+            Request::RequestPut(put) => {
+                self.write(put.key, put.value, put.lease);
+                let header = None;
+                Response::ResponsePut(PutResponse { header })
+            }
+            Request::RequestDeleteRange(range) => {
+                let deleted = self.delete(&range);
+                let header = None;
+                Response::ResponseDeleteRange(DeleteRangeResponse { header, deleted })
+            }
+        });
+        ResponseOp { response }
+    }
+
+    fn holds(&self, compare: &Compare) -> bool {
+        let row = self.rows.get(&compare.key);
+        let (found, wanted) = match compare.target_union {
+            Some(TargetUnion::Version(wanted)) => (row.map_or(0, |kv| kv.version), wanted),
+            Some(TargetUnion::CreateRevision(wanted)) => {
+                (row.map_or(0, |kv| kv.create_revision), wanted)
+            }
+            None => return false,
+        };
+        match CompareResult::try_from(compare.result) {
+            Ok(CompareResult::Equal) => found == wanted,
+            Ok(CompareResult::Greater) => found > wanted,
+            Ok(CompareResult::Less) => found < wanted,
+            Ok(CompareResult::NotEqual) => found != wanted,
+            Err(_) => false,
+        }
+    }
+
+    fn found(&self, key: &Bytes, end: &Bytes) -> Vec<KeyValue> {
+        let rows = match &self.lagging {
+            Some(lagging) if key.starts_with(LIST) => lagging,
+            _ => &self.rows,
+        };
+        if end.is_empty() {
+            return rows.get(key).cloned().into_iter().collect();
+        }
+        if key >= end {
+            return Vec::new();
+        }
+        let range = rows.range(key.clone()..end.clone());
+        range.map(|(_, kv)| kv.clone()).collect()
+    }
+
+    fn write(&mut self, key: Bytes, value: Bytes, lease: i64) {
+        let revision = self.revision + 1;
+        self.counts.longest = self.counts.longest.max(value.len());
+        let old = self.rows.get(&key);
+        let kv = KeyValue {
+            key: key.clone(),
+            create_revision: old.map_or(revision, |kv| kv.create_revision),
+            mod_revision: revision,
+            version: old.map_or(1, |kv| kv.version + 1),
+            value,
+            lease,
+        };
+        self.rows.insert(key.clone(), kv.clone());
+        self.leases.attach(key, lease);
+        self.note(EventType::Put, kv);
+    }
+
+    fn delete(&mut self, request: &DeleteRangeRequest) -> i64 {
+        let found = self.found(&request.key, &request.range_end);
+        let deleted = i64::try_from(found.len()).unwrap_or(i64::MAX);
+        for kv in found {
+            self.rows.remove(&kv.key);
+            self.leases.attach(kv.key.clone(), 0);
+            let kv = KeyValue {
+                key: kv.key,
+                mod_revision: self.revision + 1,
+                ..KeyValue::default()
+            };
+            self.note(EventType::Delete, kv);
+        }
+        deleted
+    }
+
+    fn note(&mut self, kind: EventType, kv: KeyValue) {
+        self.changed.push(Event {
+            r#type: kind.into(),
+            kv: Some(kv),
+        });
+    }
+
+    /// Ends a call: its changes share one revision.
+    fn commit(&mut self) {
+        if self.changed.is_empty() {
+            return;
+        }
+        self.revision += 1;
+        let changed = std::mem::take(&mut self.changed);
+        self.watches.publish(self.revision, changed);
+    }
+}
--- /dev/null
+++ b/stand-ins/src/platform_lease.rs
@@ -0,0 +1,104 @@
+//! Leases of the stand-in platform.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use lovagespindle_platform::generated::etcdserverpb::{
+    LeaseGrantRequest,
+    LeaseGrantResponse,
+    LeaseKeepAliveResponse,
+    LeaseRevokeResponse, //
+};
+use tokio::time::Instant;
+use tonic::Status;
+
+use crate::platform_data::Data;
+
+struct Lease {
+    ttl: i64,
+    ends: Instant,
+}
+
+/// Leases and the keys that end with them.
+#[derive(Default)]
+pub(crate) struct Leases {
+    last: i64,
+    leases: BTreeMap<i64, Lease>,
+    keys: BTreeMap<Bytes, i64>,
+}
+
+impl Leases {
+    pub(crate) fn holds(&self, id: i64) -> bool {
+        self.leases.contains_key(&id)
+    }
+
+    /// Lets a key end with a lease, or with none for 0.
+    pub(crate) fn attach(&mut self, key: Bytes, lease: i64) {
+        match lease {
+            0 => self.keys.remove(&key),
+            _ => self.keys.insert(key, lease),
+        };
+    }
+
+    fn end(&mut self, ended: impl Fn(i64, &Lease) -> bool) -> Vec<Bytes> {
+        self.leases.retain(|id, lease| !ended(*id, lease));
+        let keys = self.keys.iter();
+        let orphans = keys.filter(|(_, lease)| !self.leases.contains_key(*lease));
+        orphans.map(|(key, _)| key.clone()).collect()
+    }
+}
+
+impl Data {
+    pub(crate) fn grant(
+        &mut self,
+        request: &LeaseGrantRequest,
+        now: Instant,
+    ) -> Result<LeaseGrantResponse, Status> {
+        let leases = &mut self.leases;
+        leases.last += 1;
+        let (id, ttl) = (leases.last, request.ttl);
+        let ends = now + seconds(ttl);
+        leases.leases.insert(id, Lease { ttl, ends });
+        Ok(LeaseGrantResponse {
+            header: self.header(),
+            id,
+            ttl,
+            error: String::new(),
+        })
+    }
+
+    pub(crate) fn keep_alive(&mut self, id: i64, now: Instant) -> LeaseKeepAliveResponse {
+        let lease = self.leases.leases.get_mut(&id);
+        let ttl = lease.map_or(0, |lease| {
+            lease.ends = now + seconds(lease.ttl);
+            lease.ttl
+        });
+        let header = self.header();
+        LeaseKeepAliveResponse { header, id, ttl }
+    }
+
+    pub(crate) fn revoke(&mut self, id: i64) -> Result<LeaseRevokeResponse, Status> {
+        if !self.leases.holds(id) {
+            return Err(Status::not_found("requested lease not found"));
+        }
+        let keys = self.leases.end(|other, _| other == id);
+        self.delete_keys(keys);
+        let header = self.header();
+        Ok(LeaseRevokeResponse { header })
+    }
+
+    pub(crate) fn expire(&mut self, now: Instant) {
+        let keys = self.leases.end(|_, lease| lease.ends <= now);
+        self.delete_keys(keys);
+    }
+
+    pub(crate) fn expire_all(&mut self) {
+        let keys = self.leases.end(|_, _| true);
+        self.delete_keys(keys);
+    }
+}
+
+fn seconds(ttl: i64) -> Duration {
+    Duration::from_secs(u64::try_from(ttl).unwrap_or(0))
+}
--- /dev/null
+++ b/stand-ins/src/platform_watch.rs
@@ -0,0 +1,110 @@
+//! Watches of the stand-in platform.
+
+use bytes::Bytes;
+use lovagespindle_platform::generated::etcdserverpb::{
+    ResponseHeader,
+    WatchCreateRequest,
+    WatchResponse, //
+};
+use lovagespindle_platform::generated::mvccpb::Event;
+use tokio::sync::mpsc;
+use tonic::Status;
+
+pub(crate) type Responses = mpsc::UnboundedSender<Result<WatchResponse, Status>>;
+
+struct Watch {
+    key: Bytes,
+    end: Bytes,
+    responses: Responses,
+}
+
+impl Watch {
+    fn covers(&self, event: &Event) -> bool {
+        let Some(kv) = &event.kv else {
+            return false;
+        };
+        match self.end.is_empty() {
+            true => kv.key == self.key,
+            false => kv.key >= self.key && kv.key < self.end,
+        }
+    }
+
+    fn send(&self, revision: i64, events: &[Event]) {
+        let events = events.iter().filter(|e| self.covers(e));
+        let events: Vec<_> = events.cloned().collect();
+        if !events.is_empty() {
+            let header = Some(ResponseHeader { revision });
+            // Fails only after the client has gone.
+            let _ = self.responses.send(Ok(WatchResponse {
+                header,
+                events,
+                ..WatchResponse::default()
+            }));
+        }
+    }
+}
+
+/// Waiting watches and the history that new ones can start in.
+#[derive(Default)]
+pub(crate) struct Watches {
+    watches: Vec<Watch>,
+    history: Vec<(i64, Vec<Event>)>,
+    /// The history begins after this revision.
+    compacted: i64,
+}
+
+impl Watches {
+    pub(crate) fn open(&mut self, revision: i64, create: WatchCreateRequest, responses: Responses) {
+        let start = match create.start_revision {
+            0 => revision + 1,
+            start => start,
+        };
+        let refused = start <= self.compacted;
+        let confirmation = WatchResponse {
+            header: Some(ResponseHeader { revision }),
+            created: true,
+            canceled: refused,
+            compact_revision: if refused { self.compacted + 1 } else { 0 },
+            ..WatchResponse::default()
+        };
+        // Fails only after the client has gone.
+        let _ = responses.send(Ok(confirmation));
+        if refused {
+            return;
+        }
+        let watch = Watch {
+            key: create.key,
+            end: create.range_end,
+            responses,
+        };
+        for (revision, events) in self.history.iter().filter(|(r, _)| *r >= start) {
+            watch.send(*revision, events);
+        }
+        self.watches.push(watch);
+    }
+
+    pub(crate) fn publish(&mut self, revision: i64, events: Vec<Event>) {
+        for watch in &self.watches {
+            watch.send(revision, &events);
+        }
+        self.history.push((revision, events));
+    }
+
+    pub(crate) fn compact(&mut self, revision: i64) {
+        self.history.clear();
+        self.compacted = revision;
+    }
+
+    pub(crate) fn end(&mut self) {
+        for watch in self.watches.drain(..) {
+            let broken = Status::unavailable("the connection broke");
+            // Fails only after the client has gone.
+            let _ = watch.responses.send(Err(broken));
+        }
+    }
+
+    pub(crate) fn waiting(&mut self) -> usize {
+        self.watches.retain(|w| !w.responses.is_closed());
+        self.watches.len()
+    }
+}
