--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -3,5 +3,10 @@
 mod cases;
 pub mod consumer;
 pub mod error;
+pub mod platform;
+mod platform_calls;
+mod platform_data;
+mod platform_lease;
+mod platform_watch;
 
 pub use error::Error;
