Add the prober of backend servers

Owners need health and load reports of their backend servers. Each backend server is polled in a task of its own over one gRPC channel; a channel on which a poll got no answer is replaced, because open connections may go silent while new ones work.

--- /dev/null
+++ b/backend-servers/src/generated.rs
@@ -0,0 +1,13 @@
+//! Code generated from the schema files; `tests/generated_tests.rs` checks that it is up to date.
+
+#![allow(missing_docs, unreachable_pub, clippy::all)]
+
+/// The standard gRPC health checking protocol.
+pub mod health {
+    include!("generated/grpc.health.v1.rs");
+}
+
+/// Load reports of backend servers.
+pub mod load {
+    include!("generated/lovagespindle.load.v1.rs");
+}
--- a/backend-servers/src/lib.rs
+++ b/backend-servers/src/lib.rs
@@ -1,10 +1,23 @@
 //! Datagram socket, health and load polling towards backend servers.
 
+pub mod generated;
 pub mod ingress;
+pub mod poll;
+pub mod prober;
 pub mod servers;
 pub mod settings;
 pub mod socket;
 
+pub use poll::Outcome;
+pub use prober::{
+    GetPollCounts,
+    PollCounts,
+    Prober,
+    ProberArguments,
+    ProberSettings,
+    StartPolling,
+    StopPolling, //
+};
 pub use servers::Servers;
 pub use settings::Settings;
 pub use socket::{
