--- a/operators/src/lib.rs
+++ b/operators/src/lib.rs
@@ -1,1 +1,3 @@
 //! Remote procedure calls for operators.
+
+pub mod generated;
