--- /dev/null
+++ b/operators/src/state_text.rs
@@ -0,0 +1,38 @@
+//! Optional states as the text that strum gives them.
+
+use std::fmt::Display;
+use std::str::FromStr;
+
+use serde::de::Error;
+use serde::{
+    Deserialize,
+    Deserializer,
+    Serializer, //
+};
+
+/// Writes the state's name.
+pub(crate) fn serialize<S, T>(state: &Option<T>, serializer: S) -> Result<S::Ok, S::Error>
+where
+    S: Serializer,
+    T: Display,
+{
+    match state {
+        Some(state) => serializer.collect_str(state),
+        None => serializer.serialize_none(),
+    }
+}
+
+/// Reads a state's name.
+pub(crate) fn deserialize<'de, D, T>(deserializer: D) -> Result<Option<T>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: FromStr,
+{
+    let text = String::deserialize(deserializer)?;
+    match text.parse() {
+        Ok(state) => Ok(Some(state)),
+        Err(_) => Err(D::Error::custom(format_args!(
+            "{text:?} is not a state of this object"
+        ))),
+    }
+}
