Add the command line

Each command is a module that parses its own options and returns a report in text and JSON. Failures are typed, carry what to do next and determine the exit code.

--- /dev/null
+++ b/cli/src/entry.rs
@@ -0,0 +1,117 @@
+//! Time line entries as text and JSON.
+
+use lovagespindle_decisions::ids::{
+    BackendServerId,
+    FlowId,
+    InstanceId,
+    ServiceId, //
+};
+use lovagespindle_decisions::occurrence::Occurrence;
+use lovagespindle_operators::names::Names;
+use lovagespindle_operators::timeline::Entry;
+use serde_json::{
+    Map,
+    Value,
+    json, //
+};
+
+type Fields = Vec<(&'static str, Value)>;
+
+fn run(instance: InstanceId) -> Value {
+    format!("{:016x}", instance.0).into()
+}
+
+/// Returns what an occurrence tells beside its name.
+fn fields(occurrence: &Occurrence, names: &Names) -> Fields {
+    let named = |server: BackendServerId| ("server", names.get(server.0).into());
+    match *occurrence {
+        Occurrence::Started
+        | Occurrence::Leaving
+        | Occurrence::Left
+        | Occurrence::PlatformLost
+        | Occurrence::PlatformBack => Vec::new(),
+        Occurrence::Member {
+            instance,
+            zone,
+            state,
+        } => vec![
+            ("member", run(instance)),
+            ("zone", names.get(zone.0).into()),
+            ("state", state.to_string().into()),
+        ],
+        Occurrence::Configured { revision } => vec![("revision", revision.0.into())],
+        Occurrence::Acquired {
+            backend_server,
+            flows,
+        } => vec![named(backend_server), ("flows", flows.into())],
+        Occurrence::Released {
+            backend_server,
+            owner,
+        } => {
+            let owner = owner.map_or(Value::Null, run);
+            vec![named(backend_server), ("owner", owner)]
+        }
+        Occurrence::Fenced { backend_server }
+        | Occurrence::Unfenced { backend_server }
+        | Occurrence::ColdStart { backend_server }
+        | Occurrence::ServerDown { backend_server }
+        | Occurrence::ServerUp { backend_server } => vec![named(backend_server)],
+        Occurrence::FlowClosed {
+            flow,
+            service,
+            backend_server,
+            reason,
+        } => {
+            let mut fields = flow_fields(flow, service, backend_server, names);
+            fields.push(("reason", reason.to_string().into()));
+            fields
+        }
+        Occurrence::FlowPlaced {
+            flow,
+            service,
+            backend_server,
+            candidate,
+        } => {
+            let mut fields = flow_fields(flow, service, backend_server, names);
+            fields.push(("candidate", candidate.into()));
+            fields
+        }
+    }
+}
+
+fn flow_fields(flow: FlowId, service: ServiceId, server: BackendServerId, names: &Names) -> Fields {
+    vec![
+        ("flow", format!("{:032x}", flow.0).into()),
+        ("service", names.get(service.0).into()),
+        ("server", names.get(server.0).into()),
+    ]
+}
+
+/// Returns the entry as one line.
+pub(crate) fn line(entry: &Entry, names: &Names) -> String {
+    let time = entry.stamp.get_time().to_string_rfc3339_lossy();
+    let event: &'static str = (&entry.occurrence).into();
+    let mut line = format!("{time}  {:016x}  {event}", entry.instance().0);
+    for (name, value) in fields(&entry.occurrence, names) {
+        let value = value
+            .as_str()
+            .map_or_else(|| value.to_string(), str::to_owned);
+        line.push_str(&format!("  {name}={value}"));
+    }
+    line.push('\n');
+    line
+}
+
+/// Returns the entry as a JSON object.
+pub(crate) fn value(entry: &Entry, names: &Names) -> Value {
+    let event: &'static str = (&entry.occurrence).into();
+    let mut object = Map::new();
+    let time = entry.stamp.get_time().to_string_rfc3339_lossy();
+    object.insert("time".to_owned(), time.into());
+    object.insert("instance".to_owned(), run(entry.instance()));
+    object.insert("event".to_owned(), json!(event));
+    for (name, value) in fields(&entry.occurrence, names) {
+        object.insert(name.to_owned(), value);
+    }
+    Value::Object(object)
+}
--- /dev/null
+++ b/cli/src/explain.rs
@@ -0,0 +1,121 @@
+//! The command that explains where the packets of a flow go.
+
+use std::fmt::Write;
+
+use lovagespindle_decisions::ids::InstanceId;
+use lovagespindle_decisions::status::FlowHolding;
+use lovagespindle_operators::connection::FlowQuery;
+use lovagespindle_operators::messages::FlowExplanation;
+use lovagespindle_operators::names::Names;
+use pico_args::Arguments;
+use serde_json::{
+    Value,
+    json, //
+};
+
+use crate::args::{
+    UsageError,
+    address,
+    given,
+    hex,
+    text, //
+};
+use crate::exit::Failure;
+use crate::report::{
+    Report,
+    table, //
+};
+use crate::session::Session;
+
+/// Explains a flow.
+#[derive(Debug)]
+pub(crate) struct Command(FlowQuery);
+
+impl Command {
+    /// Takes the rest of the command line.
+    pub(crate) fn parse(arguments: &mut Arguments) -> Result<Command, UsageError> {
+        Ok(Command(FlowQuery {
+            service: given("--service", text(arguments, "--service")?)?,
+            caller: given("--caller", address(arguments, "--caller")?)?,
+            unique: given("--unique", hex(arguments, "--unique")?)?,
+        }))
+    }
+
+    /// Runs the command.
+    pub(crate) async fn run(self, session: &Session) -> Result<Report, Failure> {
+        let (answer, names) = session.client.explain(&self.0).await?;
+        Ok(Report {
+            text: shown(&answer, &names),
+            json: value(&answer, &names),
+        })
+    }
+}
+
+fn run_of(instance: Option<InstanceId>) -> Option<String> {
+    instance.map(|i| format!("{:016x}", i.0))
+}
+
+fn holding(holding: FlowHolding, names: &Names) -> String {
+    match holding {
+        FlowHolding::None => "the instance that was asked holds nothing of the flow".to_owned(),
+        FlowHolding::Hosted {
+            backend_server,
+            requests,
+        } => format!(
+            "served by {} through the instance that was asked, {requests} requests in progress",
+            names.get(backend_server.0)
+        ),
+        FlowHolding::Redirected { backend_server } => {
+            format!(
+                "served by {} through its owner",
+                names.get(backend_server.0)
+            )
+        }
+    }
+}
+
+fn shown(answer: &FlowExplanation, names: &Names) -> String {
+    let explanation = &answer.explanation;
+    let mut text = String::new();
+    // Writing to a string cannot fail.
+    let _ = writeln!(
+        text,
+        "flow {:032x} of service {} at revision {}",
+        answer.flow.0,
+        names.get(explanation.service.0),
+        explanation.revision
+    );
+    let _ = writeln!(text, "{}", holding(explanation.holding, names));
+    let candidates = explanation.candidates.iter().enumerate();
+    let rows: Vec<_> = candidates
+        .map(|(position, c)| {
+            let owner = run_of(c.owner).unwrap_or_else(|| "!unknown".to_owned());
+            [position.to_string(), names.get(c.backend_server.0), owner]
+        })
+        .collect();
+    text + &table(["CANDIDATE", "SERVER", "OWNER"], &rows)
+}
+
+fn value(answer: &FlowExplanation, names: &Names) -> Value {
+    let explanation = &answer.explanation;
+    let (holding, server, requests) = match explanation.holding {
+        FlowHolding::None => ("none", None, None),
+        FlowHolding::Hosted {
+            backend_server,
+            requests,
+        } => ("hosted", Some(backend_server), Some(requests)),
+        FlowHolding::Redirected { backend_server } => ("redirected", Some(backend_server), None),
+    };
+    json!({
+        "flow": format!("{:032x}", answer.flow.0),
+        "service": names.get(explanation.service.0),
+        "revision": explanation.revision.0,
+        "holding": holding,
+        "server": server.map(|s| names.get(s.0)),
+        "requests": requests,
+        "candidates": explanation.candidates.iter().map(|c| json!({
+            "server": names.get(c.backend_server.0),
+            "owner": run_of(c.owner),
+        })).collect::<Vec<_>>(),
+    })
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,3 +1,61 @@
 //! The operator command line of lovagespindle.
 
-fn main() {}
+mod apply;
+mod args;
+mod command;
+mod describe;
+mod entry;
+mod exit;
+mod explain;
+mod follow;
+mod pool;
+mod report;
+mod server;
+mod service;
+mod session;
+mod status;
+mod timeline;
+mod zone;
+
+use std::process::ExitCode;
+
+use pico_args::Arguments;
+
+use crate::args::{
+    Asked,
+    INSTANCES_VARIABLE, //
+};
+use crate::exit::{
+    Exit,
+    Failure, //
+};
+use crate::session::Session;
+
+fn main() -> ExitCode {
+    let exit = match run() {
+        Ok(()) => Exit::Ok,
+        Err(Failure::Output(e)) if e.kind() == std::io::ErrorKind::BrokenPipe => Exit::Ok,
+        Err(failure) => {
+            eprintln!("lovagespindle: {failure}");
+            failure.exit()
+        }
+    };
+    exit.into()
+}
+
+fn run() -> Result<(), Failure> {
+    let variable = std::env::var(INSTANCES_VARIABLE).ok();
+    match args::parse(Arguments::from_env(), variable.as_deref())? {
+        Asked::Help => print!("{}", include_str!("help.txt")),
+        Asked::Version => println!("lovagespindle {}", env!("CARGO_PKG_VERSION")),
+        Asked::Run(globals, command) => {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()?;
+            let session = Session::new(globals);
+            let report = runtime.block_on(command.run(&session))?;
+            report.print(session.json)?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/cli/src/pool.rs
@@ -0,0 +1,101 @@
+//! Commands about pools.
+
+use lovagespindle_decisions::config::{
+    Change,
+    Configuration,
+    Pool, //
+};
+use pico_args::Arguments;
+use serde_json::json;
+
+use crate::args::{
+    UsageError,
+    free,
+    given,
+    text,
+    verb, //
+};
+use crate::exit::Failure;
+use crate::report::{
+    Report,
+    table, //
+};
+use crate::session::Session;
+
+/// A command about pools.
+#[derive(Debug)]
+pub(crate) enum Command {
+    /// Makes a change.
+    Change(Change),
+    /// Lists them.
+    List,
+}
+
+impl Command {
+    /// Takes the rest of the command line.
+    pub(crate) fn parse(arguments: &mut Arguments) -> Result<Command, UsageError> {
+        let verb = verb(arguments, "create, delete or list")?;
+        match verb.as_str() {
+            "create" => {
+                let service = given("--service", text(arguments, "--service")?)?;
+                let zone = given("--zone", text(arguments, "--zone")?)?;
+                let name = free(arguments, "the pool")?;
+                Ok(Command::Change(Change::CreatePool {
+                    name,
+                    service,
+                    zone,
+                }))
+            }
+            "delete" => {
+                let name = free(arguments, "the pool")?;
+                Ok(Command::Change(Change::DeletePool { name }))
+            }
+            "list" => Ok(Command::List),
+            _ => Err(UsageError::Command(format!("pool {verb}"))),
+        }
+    }
+
+    /// Runs the command.
+    pub(crate) async fn run(self, session: &Session) -> Result<Report, Failure> {
+        match self {
+            Command::Change(change) => session.change(change).await,
+            Command::List => Ok(list(&session.client.configuration().await?)),
+        }
+    }
+}
+
+fn list(configuration: &Configuration) -> Report {
+    let pools = configuration.pools.values();
+    let rows: Vec<_> = pools
+        .clone()
+        .map(|p| {
+            let (service, zone) = parents(configuration, p);
+            let servers = configuration.pool_servers(p.id).len();
+            let (service, zone) = (service.to_owned(), zone.to_owned());
+            [p.name.clone(), service, zone, servers.to_string()]
+        })
+        .collect();
+    let json = pools.map(|p| {
+        let (service, zone) = parents(configuration, p);
+        json!({
+            "id": p.id.0,
+            "name": p.name,
+            "service": service,
+            "zone": zone,
+        })
+    });
+    Report {
+        text: table(["POOL", "SERVICE", "ZONE", "SERVERS"], &rows),
+        json: json.collect(),
+    }
+}
+
+/// Returns the names of a pool's service and zone.
+fn parents<'a>(configuration: &'a Configuration, pool: &Pool) -> (&'a str, &'a str) {
+    let service = configuration.services.get(&pool.service);
+    let zone = configuration.zones.get(&pool.zone);
+    (
+        service.map_or("", |s| s.name.as_str()),
+        zone.map_or("", |z| z.name.as_str()),
+    )
+}
--- /dev/null
+++ b/cli/src/report.rs
@@ -0,0 +1,48 @@
+//! What a command prints.
+
+use std::io;
+use std::io::Write;
+
+use serde_json::Value;
+
+/// What a command prints, in both forms.
+#[derive(Debug, Default)]
+pub(crate) struct Report {
+    /// For people; lines end with a newline.
+    pub(crate) text: String,
+    /// For programs; null prints nothing.
+    pub(crate) json: Value,
+}
+
+impl Report {
+    /// Prints the report in one form.
+    pub(crate) fn print(&self, json: bool) -> io::Result<()> {
+        let mut out = io::stdout().lock();
+        match json {
+            true if self.json.is_null() => Ok(()),
+            true => writeln!(out, "{}", self.json),
+            false => out.write_all(self.text.as_bytes()),
+        }
+    }
+}
+
+/// Lays rows out in columns.
+pub(crate) fn table<const N: usize>(header: [&str; N], rows: &[[String; N]]) -> String {
+    let mut widths = header.map(str::len);
+    for row in rows {
+        for (width, cell) in widths.iter_mut().zip(row) {
+            *width = (*width).max(cell.len());
+        }
+    }
+    let mut text = line(&header, &widths);
+    for row in rows {
+        text.push_str(&line(&row.each_ref().map(String::as_str), &widths));
+    }
+    text
+}
+
+fn line<const N: usize>(cells: &[&str; N], widths: &[usize; N]) -> String {
+    let padded = cells.iter().zip(widths).map(|(c, w)| format!("{c:w$}"));
+    let line = padded.collect::<Vec<_>>().join("  ");
+    format!("{}\n", line.trim_end())
+}
--- a/operators/src/connection.rs
+++ b/operators/src/connection.rs
@@ -77,7 +77,7 @@
         /// The instance.
         instance: SocketAddr,
         /// Why.
-        source: DecodeError,
+        source: Box<DecodeError>,
     },
 }
 
@@ -289,7 +289,7 @@
     fn decode(&self, source: DecodeError) -> CallError {
         CallError::Decode {
             instance: self.instance,
-            source,
+            source: Box::new(source),
         }
     }
 }
