--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -84,7 +84,7 @@
     /// Print the version.
     Version,
     /// Run a command.
-    Run(Globals, Command),
+    Run(Globals, Box<Command>),
 }
 
 /// Parses the command line; `variable` is the value of [`INSTANCES_VARIABLE`].
@@ -112,7 +112,7 @@
             second: "--operation",
         });
     }
-    Ok(Asked::Run(globals, command))
+    Ok(Asked::Run(globals, Box::new(command)))
 }
 
 fn globals(arguments: &mut Arguments) -> Result<Globals, UsageError> {
--- a/cli/src/follow.rs
+++ b/cli/src/follow.rs
@@ -112,10 +112,7 @@
     query: TimelineQuery,
     sender: mpsc::Sender<Heard>,
 ) {
-    let error = match follow_items(&client, instance, &query, &sender).await {
-        Ok(()) => None,
-        Err(e) => Some(e),
-    };
+    let error = follow_items(&client, instance, &query, &sender).await.err();
     // Sending fails only when the command has ended.
     let _ = sender.send(Heard::End(instance, error)).await;
 }
--- a/operators/examples/generate.rs
+++ b/operators/examples/generate.rs
@@ -16,7 +16,7 @@
 }
 
 /// Writes the generated code for the schema of `package` to the directory `target`.
-fn generate(package: &Path, target: &Path) -> anyhow::Result<()> {
+pub(crate) fn generate(package: &Path, target: &Path) -> anyhow::Result<()> {
     let schema = protox::compile(["operators.proto"], [package.join("proto")])?;
     tonic_prost_build::configure()
         .btree_map(".")
--- a/operators/src/connection.rs
+++ b/operators/src/connection.rs
@@ -40,7 +40,7 @@
     #[error("no instance is given")]
     NoInstance,
     /// No connection: the call was not sent.
-    #[error("instance {instance} cannot be reached: {source}")]
+    #[error("instance {instance} cannot be reached: {reason}", reason = innermost(source.as_ref()))]
     Unreachable {
         /// The instance.
         instance: SocketAddr,
@@ -85,6 +85,15 @@
     format!("{} ms", duration.as_millis())
 }
 
+/// Returns the innermost cause, which says most; the outer ones only say "transport error".
+fn innermost(error: &dyn std::error::Error) -> String {
+    let mut cause = error;
+    while let Some(inner) = cause.source() {
+        cause = inner;
+    }
+    cause.to_string()
+}
+
 /// What an instance answered to a change.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Outcome {
@@ -281,7 +290,10 @@
             },
             _ => CallError::Lost {
                 instance,
-                reason: status.message().to_owned(),
+                reason: match std::error::Error::source(status) {
+                    Some(source) => innermost(source),
+                    None => status.message().to_owned(),
+                },
             },
         }
     }
--- a/operators/src/messages.rs
+++ b/operators/src/messages.rs
@@ -1,4 +1,5 @@
-//! Messages that the operators' server sends to the other tasks of the daemon.
+//! Messages that the operators' server sends to the other tasks of the daemon. Where an answer
+//! cannot fail, the handler returns a `Result` with [`kameo::error::Infallible`].
 
 use std::net::SocketAddr;
 
--- a/operators/src/timeline.rs
+++ b/operators/src/timeline.rs
@@ -1,10 +1,10 @@
 //! The time line of an instance: its latest changes of state with hybrid logical clock stamps.
 
 use std::collections::VecDeque;
-use std::convert::Infallible;
 use std::num::NonZeroU64;
 
 use kameo::Actor;
+use kameo::error::Infallible;
 use kameo::message::{
     Context,
     Message, //
--- /dev/null
+++ b/operators/tests/fakes/mod.rs
@@ -0,0 +1,332 @@
+//! Small stand-ins for the tasks of the daemon that the operators' server talks to.
+
+#![allow(dead_code, unreachable_pub)] // each test file uses a part
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::Actor;
+use kameo::actor::{
+    ActorRef,
+    Spawn, //
+};
+use kameo::error::Infallible;
+use kameo::message::{
+    Context,
+    Message, //
+};
+use kameo::reply::{
+    DelegatedReply,
+    ReplySender, //
+};
+use lovagespindle_decisions::config::{
+    Change,
+    Configuration,
+    Record, //
+};
+use lovagespindle_decisions::event::Health;
+use lovagespindle_decisions::ids::{
+    BackendServerId,
+    FlowId,
+    InstanceId,
+    Revision,
+    ZoneId, //
+};
+use lovagespindle_decisions::peer::{
+    Member,
+    MemberState,
+    MemberUpdate, //
+};
+use lovagespindle_decisions::status::{
+    CandidateStatus,
+    Explanation,
+    Flag,
+    FlowHolding,
+    OwnedStatus,
+    Status, //
+};
+use lovagespindle_operators::messages::{
+    ApplyChanges,
+    ApplyError,
+    ExplainFlow,
+    FlowExplanation,
+    GetStatus,
+    ReadConfiguration, //
+};
+use lovagespindle_operators::server::{
+    OperatorServer,
+    Recipients, //
+};
+use lovagespindle_operators::timeline::{
+    Settings,
+    TimeLine, //
+};
+use tokio::net::TcpListener;
+
+pub type Applied = Result<Revision, ApplyError>;
+
+/// Holds the configuration of all instances of a test.
+#[derive(Actor, Default)]
+pub struct FakeStore {
+    configuration: Configuration,
+}
+
+impl Message<ApplyChanges> for FakeStore {
+    type Reply = Applied;
+
+    async fn handle(&mut self, m: ApplyChanges, _: &mut Context<Self, Applied>) -> Applied {
+        let present = self.configuration.revision;
+        if let Some(revision) = self.configuration.operation(m.operation) {
+            return Ok(revision);
+        }
+        if m.expected.is_some_and(|e| e != present) {
+            return Err(ApplyError::Conflict { present });
+        }
+        let record = Record {
+            revision: Revision(present.0 + 1),
+            operation: m.operation,
+            changes: m.changes,
+        };
+        match self.configuration.apply(&record) {
+            Ok(()) => Ok(record.revision),
+            Err(e) => Err(ApplyError::invalid(&self.configuration, &record, e)),
+        }
+    }
+}
+
+impl Message<ReadConfiguration> for FakeStore {
+    type Reply = Result<Arc<Configuration>, Infallible>;
+
+    async fn handle(
+        &mut self,
+        _: ReadConfiguration,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        Ok(Arc::new(self.configuration.clone()))
+    }
+}
+
+/// How an instance treats changes.
+pub enum Mode {
+    /// Passes them to the store.
+    Works,
+    /// Passes them to the store and loses the first answer.
+    LosesOne,
+    /// Passes them to the store and never answers.
+    Silent,
+    /// Answers always the same.
+    Says(ApplyError),
+}
+
+/// Answers for all tasks of one instance but for the time line.
+#[derive(Actor)]
+pub struct FakeTasks {
+    store: ActorRef<FakeStore>,
+    mode: Mode,
+    id: u64,
+    /// Where a silent instance keeps what it should answer to.
+    waiting: Vec<ReplySender<Applied>>,
+}
+
+impl Message<ApplyChanges> for FakeTasks {
+    type Reply = DelegatedReply<Applied>;
+
+    async fn handle(
+        &mut self,
+        m: ApplyChanges,
+        ctx: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        let (delegated, sender) = ctx.reply_sender();
+        let sender = sender.unwrap();
+        if let Mode::Says(error) = &self.mode {
+            sender.send(Err(error.clone()));
+            return delegated;
+        }
+        let applied = match self.store.ask(m).await {
+            Ok(revision) => Ok(revision),
+            Err(kameo::error::SendError::HandlerError(e)) => Err(e),
+            Err(_) => Err(ApplyError::Unavailable),
+        };
+        match self.mode {
+            Mode::Silent => self.waiting.push(sender),
+            Mode::LosesOne => {
+                self.mode = Mode::Works;
+                drop(sender);
+            }
+            Mode::Works | Mode::Says(_) => sender.send(applied),
+        }
+        delegated
+    }
+}
+
+impl Message<ReadConfiguration> for FakeTasks {
+    type Reply = Result<Arc<Configuration>, Infallible>;
+
+    async fn handle(
+        &mut self,
+        m: ReadConfiguration,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        Ok(self.store.ask(m).await.unwrap())
+    }
+}
+
+impl Message<GetStatus> for FakeTasks {
+    type Reply = Result<Status, Infallible>;
+
+    async fn handle(&mut self, _: GetStatus, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let configuration = self.store.ask(ReadConfiguration).await.unwrap();
+        Ok(status(self.id, &configuration))
+    }
+}
+
+impl Message<ExplainFlow> for FakeTasks {
+    type Reply = Result<FlowExplanation, Infallible>;
+
+    async fn handle(&mut self, m: ExplainFlow, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let configuration = self.store.ask(ReadConfiguration).await.unwrap();
+        let candidates = configuration.service_servers(m.service);
+        Ok(FlowExplanation {
+            flow: FlowId(m.unique + u128::from(m.caller.port())),
+            explanation: Explanation {
+                service: m.service,
+                revision: configuration.revision,
+                candidates: candidates
+                    .map(|(s, _)| CandidateStatus {
+                        backend_server: s.id,
+                        owner: Some(InstanceId(self.id)),
+                    })
+                    .collect(),
+                holding: FlowHolding::Hosted {
+                    backend_server: BackendServerId(3),
+                    requests: 2,
+                },
+            },
+        })
+    }
+}
+
+pub fn member(id: u64) -> Member {
+    Member {
+        id: InstanceId(id),
+        zone: ZoneId(0),
+        control: SocketAddr::from(([127, 0, 0, 1], 7001)),
+        relay: SocketAddr::from(([127, 0, 0, 1], 7002)),
+    }
+}
+
+/// The status of instance `id`: instance 1 owns the first backend server and has lost the platform.
+pub fn status(id: u64, configuration: &Configuration) -> Status {
+    let owned = configuration.servers.keys().take(usize::from(id == 1));
+    Status {
+        member: member(id),
+        revision: configuration.revision,
+        flows: 7,
+        requests: 5,
+        owned: owned
+            .map(|s| OwnedStatus {
+                backend_server: *s,
+                limit: 4,
+                running: 3,
+                queued: 2,
+                flows: 1,
+                fenced: true,
+                health: Health::NotServing,
+            })
+            .collect(),
+        members: vec![MemberUpdate {
+            member: member(id + 1),
+            state: MemberState::Live,
+            incarnation: 9,
+        }],
+        flags: if id == 1 {
+            [Flag::PlatformLost].into_iter().collect()
+        } else {
+            Default::default()
+        },
+    }
+}
+
+/// One served instance.
+pub struct FakeInstance {
+    pub address: SocketAddr,
+    pub timeline: ActorRef<TimeLine>,
+    pub server: ActorRef<OperatorServer>,
+}
+
+/// Serves one instance on a free port.
+pub async fn serve(store: &ActorRef<FakeStore>, id: u64, mode: Mode) -> FakeInstance {
+    let tasks = FakeTasks::spawn(FakeTasks {
+        store: store.clone(),
+        mode,
+        id,
+        waiting: Vec::new(),
+    });
+    let timeline = TimeLine::spawn(TimeLine::new(InstanceId(id), &Settings::default()));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let recipients = Recipients {
+        apply: tasks.clone().reply_recipient(),
+        configuration: tasks.clone().reply_recipient(),
+        status: tasks.clone().reply_recipient(),
+        explain: tasks.reply_recipient(),
+        timeline: timeline.clone().reply_recipient(),
+        follow: timeline.clone().reply_recipient(),
+    };
+    let server = OperatorServer::spawn((listener, recipients));
+    server.wait_for_startup().await;
+    FakeInstance {
+        address,
+        timeline,
+        server,
+    }
+}
+
+/// An address where connections are accepted and closed at once.
+pub async fn closing() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move { while listener.accept().await.is_ok() {} });
+    address
+}
+
+/// An address where nothing listens.
+pub async fn nothing() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// Zone z (0), service s (1), pool p (2) and backend server b (3).
+pub fn small() -> Vec<Change> {
+    let name = |n: &str| n.to_owned();
+    vec![
+        Change::CreateZone {
+            name: name("z"),
+            region: name("r"),
+        },
+        Change::PutService {
+            name: name("s"),
+            address: SocketAddr::from(([127, 0, 0, 1], 80)),
+            idle: Duration::from_secs(60),
+        },
+        Change::CreatePool {
+            name: name("p"),
+            service: name("s"),
+            zone: name("z"),
+        },
+        server("b"),
+    ]
+}
+
+pub fn server(name: &str) -> Change {
+    Change::PutServer {
+        name: name.to_owned(),
+        pool: "p".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 2], 81)),
+        health: SocketAddr::from(([127, 0, 0, 2], 82)),
+        weight: 100,
+        slots: 4,
+        connections: 2000,
+    }
+}
--- /dev/null
+++ b/operators/tests/timeline.rs
@@ -0,0 +1,165 @@
+//! The time line: ring, filters, merging and clock.
+
+#![allow(clippy::unwrap_used)] // helpers of tests may panic
+
+mod fakes;
+
+use std::sync::Arc;
+
+use kameo::actor::Spawn;
+use lovagespindle_decisions::config::{
+    Configuration,
+    Record, //
+};
+use lovagespindle_decisions::ids::{
+    BackendServerId,
+    FlowId,
+    InstanceId,
+    OperationId,
+    Revision,
+    ServiceId,
+    ZoneId, //
+};
+use lovagespindle_decisions::occurrence::Occurrence;
+use lovagespindle_decisions::packet::Reason;
+use lovagespindle_decisions::peer::MemberState;
+use lovagespindle_operators::filter::{
+    Filter,
+    Selection, //
+};
+use lovagespindle_operators::messages::ReadTimeline;
+use lovagespindle_operators::timeline::{
+    Entry,
+    Note,
+    Observe,
+    Ring,
+    Settings,
+    TimeLine,
+    merge,
+    stamp, //
+};
+use uhlc::NTP64;
+
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident => $body:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() { $body })*
+    };
+}
+
+fn entry(time: u64, instance: u64, occurrence: Occurrence) -> Entry {
+    Entry {
+        stamp: stamp(time, InstanceId(instance)),
+        occurrence,
+    }
+}
+
+fn select(filter: Filter) -> Selection {
+    let mut configuration = Configuration::default();
+    let record = Record {
+        revision: Revision(1),
+        operation: OperationId(1),
+        changes: fakes::small(),
+    };
+    configuration.apply(&record).unwrap();
+    Selection {
+        filter,
+        configuration: Arc::new(configuration),
+    }
+}
+
+const DOWN: Occurrence = Occurrence::ServerDown {
+    backend_server: BackendServerId(3),
+};
+const OTHER_DOWN: Occurrence = Occurrence::ServerDown {
+    backend_server: BackendServerId(99),
+};
+const CLOSED: Occurrence = Occurrence::FlowClosed {
+    flow: FlowId(5),
+    service: ServiceId(1),
+    backend_server: BackendServerId(3),
+    reason: Reason::ZoneOut,
+};
+const DEAD: Occurrence = Occurrence::Member {
+    instance: InstanceId(4),
+    zone: ZoneId(0),
+    state: MemberState::Dead,
+};
+
+/// Returns the positions of the entries that a filter admits.
+fn admitted(filter: Filter) -> Vec<usize> {
+    let selection = select(filter);
+    let all = [Occurrence::Started, DOWN, OTHER_DOWN, CLOSED, DEAD];
+    let entries = all.into_iter().enumerate();
+    let admitted = entries.filter(|(n, o)| selection.admits(&entry(*n as u64, 1, *o)));
+    admitted.map(|(n, _)| n).collect()
+}
+
+cases! {
+    /// Guards against a ring that grows without bound or drops the latest entries.
+    ring_keeps_the_latest => {
+        let mut ring = Ring::new(3);
+        for time in 0..5 {
+            ring.push(entry(time, 1, Occurrence::Started));
+        }
+        let kept = ring.select(&select(Filter::default()));
+        let times: Vec<_> = kept.iter().map(|e| e.stamp.get_time().as_u64()).collect();
+        assert_eq!(times, [2, 3, 4]);
+    };
+    /// Guards against a default that differs from the documented one.
+    default_ring_has_4096_entries => assert_eq!(Settings::default().entries, 4096);
+    /// Guards against a filter that admits nothing when nothing is asked for.
+    no_filter_admits_all => assert_eq!(admitted(Filter::default()), [0, 1, 2, 3, 4]);
+    /// Guards against entries about a service's backend servers that are missing.
+    service_filter_covers_servers_and_flows => {
+        let filter = Filter { service: Some(ServiceId(1)), ..Filter::default() };
+        assert_eq!(admitted(filter), [1, 3]);
+    };
+    /// Guards against entries about a deleted backend server that cannot be found.
+    server_filter_needs_no_configuration => {
+        let filter = Filter { server: Some(BackendServerId(99)), ..Filter::default() };
+        assert_eq!(admitted(filter), [2]);
+    };
+    /// Guards against entries about a zone's members or backend servers that are missing.
+    zone_filter_covers_members_servers_and_flows => {
+        let filter = Filter { zone: Some(ZoneId(0)), ..Filter::default() };
+        assert_eq!(admitted(filter), [1, 3, 4]);
+    };
+    /// Guards against entries of other flows.
+    flow_filter_is_exact => {
+        let filter = Filter { flow: Some(FlowId(5)), ..Filter::default() };
+        assert_eq!(admitted(filter), [3]);
+    };
+    /// Guards against bounds that are off by one.
+    time_bounds_include_since_and_exclude_until => {
+        let filter = Filter { since: Some(NTP64(1)), until: Some(NTP64(3)), ..Filter::default() };
+        assert_eq!(admitted(filter), [1, 2]);
+    };
+    /// Guards against an order that depends on which instance answered first, and repeated entries.
+    merge_orders_by_stamp_and_drops_repeats => {
+        let a = [entry(1, 7, DOWN), entry(4, 7, CLOSED)];
+        let b = [entry(1, 2, DEAD), entry(3, 2, DOWN)];
+        let wanted = [b[0], a[0], b[1], a[1]];
+        assert_eq!(merge(vec![a.to_vec(), b.to_vec(), a.to_vec()]), wanted);
+        assert_eq!(merge(vec![b.to_vec(), a.to_vec()]), wanted);
+    };
+    /// Guards against an instance that cannot be told from its stamps.
+    stamp_names_the_instance => {
+        for id in [1, 0x0102_0304_0506_0708, u64::MAX] {
+            assert_eq!(entry(1, id, DOWN).instance(), InstanceId(id));
+        }
+    };
+    /// Guards against an effect that is stamped earlier than its cause at another instance.
+    stamps_follow_observed_ones => {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let a = TimeLine::spawn(TimeLine::new(InstanceId(1), &Settings::default()));
+            let b = TimeLine::spawn(TimeLine::new(InstanceId(2), &Settings::default()));
+            let cause = a.ask(Note(DOWN)).await.unwrap();
+            b.ask(Observe(cause)).await.unwrap();
+            let effect = b.ask(Note(CLOSED)).await.unwrap();
+            assert!(effect > cause);
+            let read = b.ask(ReadTimeline(select(Filter::default()))).await.unwrap();
+            assert_eq!(read, [Entry { stamp: effect, occurrence: CLOSED }]);
+        });
+    };
+}
