--- a/decisions/src/lib.rs
+++ b/decisions/src/lib.rs
@@ -6,6 +6,14 @@
 pub mod action;
 mod answering;
 pub mod config;
+mod config_apply;
+mod config_check;
+pub mod config_error;
+mod config_index;
+mod config_lookup;
+mod config_overlay;
+mod config_plan;
+pub mod config_restore;
 mod contact;
 pub mod counter;
 pub mod event;
