--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -71,6 +71,7 @@
                 names.get(backend_server.0)
             )
         }
+        FlowHolding::Closed { reason } => format!("closed by the system: {reason}"),
     }
 }
 
@@ -105,6 +106,7 @@
             requests,
         } => ("hosted", Some(backend_server), Some(requests)),
         FlowHolding::Redirected { backend_server } => ("redirected", Some(backend_server), None),
+        FlowHolding::Closed { .. } => ("closed", None, None),
     };
     json!({
         "flow": format!("{:032x}", answer.flow.0),
--- a/operators/src/decode.rs
+++ b/operators/src/decode.rs
@@ -336,9 +336,9 @@
     }
 }
 
-fn holding(holding: Option<v1::explain_response::Holding>) -> FlowHolding {
+fn holding(holding: Option<v1::explain_response::Holding>) -> Result<FlowHolding, DecodeError> {
     use v1::explain_response::Holding;
-    match holding {
+    Ok(match holding {
         None => FlowHolding::None,
         Some(Holding::Hosted(hosted)) => FlowHolding::Hosted {
             backend_server: BackendServerId(hosted.backend_server),
@@ -347,7 +347,10 @@
         Some(Holding::Redirected(redirected)) => FlowHolding::Redirected {
             backend_server: BackendServerId(redirected.backend_server),
         },
-    }
+        Some(Holding::Closed(closed)) => FlowHolding::Closed {
+            reason: known("reason", closed.reason, Reason::from_repr)?,
+        },
+    })
 }
 
 /// Decodes where the packets of a flow go.
@@ -359,7 +362,7 @@
             service: ServiceId(response.service),
             revision: Revision(response.revision),
             candidates: candidates.map(CandidateStatus::from).collect(),
-            holding: holding(response.holding),
+            holding: holding(response.holding)?,
         },
     };
     Ok((answer, Names(response.names)))
--- a/operators/src/encode.rs
+++ b/operators/src/encode.rs
@@ -280,6 +280,9 @@
         FlowHolding::Redirected { backend_server } => Some(Holding::Redirected(v1::Redirected {
             backend_server: backend_server.0,
         })),
+        FlowHolding::Closed { reason } => Some(Holding::Closed(v1::Closed {
+            reason: reason as i32,
+        })),
     }
 }
 
--- a/operators/src/server.rs
+++ b/operators/src/server.rs
@@ -257,7 +257,7 @@
 fn held(answer: &FlowExplanation) -> Option<u32> {
     use lovagespindle_decisions::status::FlowHolding;
     match answer.explanation.holding {
-        FlowHolding::None => None,
+        FlowHolding::None | FlowHolding::Closed { .. } => None,
         FlowHolding::Hosted { backend_server, .. } | FlowHolding::Redirected { backend_server } => {
             Some(backend_server.0)
         }
