--- a/decisions/src/config_plan.rs
+++ b/decisions/src/config_plan.rs
@@ -297,7 +297,11 @@
 
     fn take_id(&mut self) -> Result<u32, ConfigError> {
         let id = self.next_id;
-        self.next_id = id.checked_add(1).ok_or(ConfigError::NoMoreIds)?;
+        // The upper half belongs to availability zones.
+        self.next_id = id
+            .checked_add(1)
+            .filter(|next| *next < ZoneId::MARK)
+            .ok_or(ConfigError::NoMoreIds)?;
         Ok(id)
     }
 
