--- a/instances/tests/generated.rs
+++ b/instances/tests/generated.rs
@@ -12,7 +12,7 @@
 fn generated_code_is_current() {
     const FILE: &str = "lovagespindle.instances.rs";
     let package = Path::new(env!("CARGO_MANIFEST_DIR"));
-    let fresh = Path::new(env!("CARGO_TARGET_TMPDIR")).join("generated");
+    let fresh = Path::new(env!("CARGO_TARGET_TMPDIR")).join("generated-instances");
     fs::create_dir_all(&fresh).unwrap();
     generate::generate(package, &fresh).unwrap();
     let wanted = fs::read_to_string(fresh.join(FILE)).unwrap();
--- a/operators/tests/generated.rs
+++ b/operators/tests/generated.rs
@@ -18,7 +18,7 @@
     /// Guards against a schema change without a new run of the generator.
     generated_code_is_current => {
         let package = Path::new(env!("CARGO_MANIFEST_DIR"));
-        let fresh = Path::new(env!("CARGO_TARGET_TMPDIR")).join("generated");
+        let fresh = Path::new(env!("CARGO_TARGET_TMPDIR")).join("generated-operators");
         std::fs::create_dir_all(&fresh).unwrap();
         generate::generate(package, &fresh).unwrap();
         let file = "lovagespindle.operators.v1.rs";
