Write what waits before the links stop

The last messages of an instance say that it leaves, so the stop hook waits for the links until the write timeout.

--- a/instances/src/links.rs
+++ b/instances/src/links.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::future::join_all;
 use kameo::Actor;
 use kameo::actor::{
     ActorRef,
@@ -29,6 +30,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::broadcast;
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
 use tokio_util::codec::LengthDelimitedCodec;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -200,8 +202,11 @@
         self.acceptor.abort();
         // Waits until the listener is closed.
         let _ = (&mut self.acceptor).await;
-        // Links that were sent to end by themselves once their frames are written.
-        self.links.clear();
+        // Without senders the tasks end once their frames are written. The last ones say that
+        // this instance leaves.
+        let links = self.links.drain().map(|(_, link)| link.task);
+        let tasks: Vec<_> = links.collect();
+        let _ = timeout(self.settings.write_timeout, join_all(tasks)).await;
         Ok(())
     }
 }
--- a/instances/tests/links.rs
+++ b/instances/tests/links.rs
@@ -119,6 +119,13 @@
         events.into_iter().map(zone).collect()
     }
 
+    /// Stops the actor and waits until its listener is closed and its links are written.
+    async fn stop(&self) {
+        self.links.stop_gracefully().await.unwrap();
+        // The plain wait returns before the stop hook has run.
+        self.links.wait_for_shutdown_result().await.unwrap();
+    }
+
     async fn count(&self, counter: LinkCounter) -> u64 {
         self.links.ask(GetLinkCounts).await.unwrap().get(counter)
     }
@@ -139,8 +146,8 @@
     PeerMessage::PullMembers { zone: ZoneId(zone) }
 }
 
-/// Returns a message of about 9 KB.
-fn large() -> PeerMessage {
+/// Returns message `n` of about 9 KB.
+fn large(n: u32) -> PeerMessage {
     let member = Member {
         id: A,
         zone: ZoneId(1),
@@ -150,7 +157,7 @@
     let update = MemberUpdate {
         member,
         state: MemberState::Live,
-        incarnation: 1,
+        incarnation: n,
     };
     PeerMessage::Members {
         updates: vec![update; 256],
@@ -211,23 +218,34 @@
     assert_eq!(a.zones(1).await, [(B, 2)]);
 }
 
+/// Returns the number of a message of [`large`].
+fn number(content: Content) -> u32 {
+    match content {
+        Content::Message(message) => match *message {
+            PeerMessage::Members { updates } => updates[0].incarnation,
+            other => panic!("unexpected message {other:?}"),
+        },
+        other => panic!("unexpected content {other:?}"),
+    }
+}
+
+/// A peer that does not read costs it the oldest messages and others nothing.
 async fn silent() {
+    // More than the operating system buffers on loopback, about 10 MB.
+    const SENT: u32 = 2000;
     let settings = LinkSettings {
         queue: 8,
-        write_timeout: Duration::from_millis(300),
+        write_timeout: PATIENCE,
         ..LinkSettings::default()
     };
-    let (a, mut c) = (
-        End::start(A, localhost(), settings).await,
-        End::new(C).await,
-    );
+    let a = End::start(A, localhost(), settings).await;
+    let mut c = End::new(C).await;
     let listener = TcpListener::bind(localhost()).await.unwrap();
     let address = listener.local_addr().unwrap();
-    a.send(B, address, vec![large()]).await;
-    let _raw = Raw::accept(&listener).await;
-    // Fills the buffers of the operating system and then the queue.
-    while a.count(LinkCounter::DroppedOut).await == 0 {
-        a.send(B, address, vec![large(); 16]).await;
+    a.send(B, address, vec![large(0)]).await;
+    let mut raw = Raw::accept(&listener).await;
+    for n in 1..=SENT {
+        a.send(B, address, vec![large(n)]).await;
     }
     a.send(C, c.address, vec![pull(1)]).await;
     assert_eq!(
@@ -235,7 +253,17 @@
         [(A, 1)],
         "one silent peer held up another"
     );
-    a.reach(LinkCounter::DroppedOut, 8).await;
+    assert!(matches!(raw.next().await, Some(Content::Hello { .. })));
+    let (mut received, mut last) = (0, None);
+    while last < Some(SENT) {
+        let next = Some(number(raw.next().await.unwrap()));
+        assert!(next > last, "{next:?} came after {last:?}");
+        (received, last) = (received + 1, next);
+    }
+    let dropped = u64::from(SENT + 1 - received);
+    assert!(dropped > 0);
+    a.reach(LinkCounter::DroppedOut, dropped).await;
+    assert_eq!(a.count(LinkCounter::DroppedOut).await, dropped);
 }
 
 async fn reopened() {
@@ -313,8 +341,7 @@
     a.send(B, b.address, vec![pull(1)]).await;
     assert_eq!(b.zones(1).await, [(A, 1)]);
     let address = b.address;
-    b.links.stop_gracefully().await.unwrap();
-    b.links.wait_for_shutdown().await;
+    b.stop().await;
     let mut c = End::start(C, address, LinkSettings::default()).await;
     // What is meant for the old process must not reach the new one.
     a.send(B, address, vec![pull(2)]).await;
@@ -370,7 +397,7 @@
 async fn last_words() {
     let (a, mut b) = (End::new(A).await, End::new(B).await);
     a.send(B, b.address, (0..100).map(pull).collect()).await;
-    a.links.stop_gracefully().await.unwrap();
+    a.stop().await;
     assert_eq!(b.zones(100).await.len(), 100);
 }
 
