Restart the peer of a link test on an address of its own

Its port could be taken by an outgoing connection of another test between the stop and the restart; the test failed once with an address in use.

--- a/instances/tests/links.rs
+++ b/instances/tests/links.rs
@@ -337,7 +337,9 @@
 
 async fn restarted() {
     let a = End::new(A).await;
-    let mut b = End::new(B).await;
+    // No other test connects from this address, so that its port stays free for the restart.
+    let own = SocketAddr::from(([127, 0, 0, 77], 0));
+    let mut b = End::start(B, own, LinkSettings::default()).await;
     a.send(B, b.address, vec![pull(1)]).await;
     assert_eq!(b.zones(1).await, [(A, 1)]);
     let address = b.address;
