Test the client of the platform against the stand-in

Covers a lost answer, a race of two operators, an outage, broken and compacted watches, a fresh reader of a trimmed log, values under one megabyte, a lapsed writer's lease, a slow platform and a lagging instance list.

--- /dev/null
+++ b/stand-ins/tests/platform.rs
@@ -0,0 +1,517 @@
+//! The client of the platform's key-value service against the stand-in.
+
+#![allow(clippy::unwrap_used)] // helpers of tests may panic
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use kameo::actor::{
+    Actor,
+    ActorRef,
+    Spawn, //
+};
+use kameo::error::{
+    Infallible,
+    SendError, //
+};
+use kameo::message::{
+    Context,
+    Message, //
+};
+use lovagespindle_decisions::Event;
+use lovagespindle_decisions::config::{
+    Change,
+    Configuration,
+    MAX_CHANGES,
+    Record, //
+};
+use lovagespindle_decisions::event::Listed;
+use lovagespindle_decisions::ids::{
+    InstanceId,
+    OperationId,
+    Revision,
+    ZoneId, //
+};
+use lovagespindle_decisions::peer::{
+    Member,
+    MemberState, //
+};
+use lovagespindle_platform::codec::{
+    Head,
+    decode_head, //
+};
+use lovagespindle_platform::generated::etcdserverpb::watch_client::WatchClient;
+use lovagespindle_platform::generated::etcdserverpb::watch_request::RequestUnion;
+use lovagespindle_platform::generated::etcdserverpb::{
+    WatchCreateRequest,
+    WatchRequest,
+    WatchResponse, //
+};
+use lovagespindle_platform::store::{
+    Append,
+    GetCounts,
+    ReadAfter,
+    ReadList,
+    Watch, //
+};
+use lovagespindle_platform::{
+    Settings,
+    Store,
+    StoreError,
+    keys, //
+};
+use lovagespindle_stand_ins::platform::Platform;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio_stream::StreamExt;
+use tonic::Streaming;
+
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident => $body:expr;)*) => {
+        $($(#[$doc])* #[tokio::test] async fn $name() {
+            let case = async { $body };
+            timeout(Duration::from_secs(15), case).await.unwrap();
+        })*
+    };
+}
+
+/// Passes events on to a test.
+struct Inbox(mpsc::UnboundedSender<Event>);
+
+impl Actor for Inbox {
+    type Args = mpsc::UnboundedSender<Event>;
+    type Error = Infallible;
+
+    async fn on_start(events: Self::Args, _: ActorRef<Inbox>) -> Result<Inbox, Infallible> {
+        Ok(Inbox(events))
+    }
+}
+
+impl Message<Event> for Inbox {
+    type Reply = ();
+
+    async fn handle(&mut self, event: Event, _: &mut Context<Inbox, ()>) {
+        let _ = self.0.send(event);
+    }
+}
+
+/// A store and what it delivered.
+struct Client {
+    store: ActorRef<Store>,
+    events: mpsc::UnboundedReceiver<Event>,
+    configuration: Configuration,
+}
+
+fn settings(platform: &Platform) -> Settings {
+    Settings {
+        endpoint: platform.url(),
+        call_timeout: Duration::from_millis(500),
+        first_pause: Duration::from_millis(5),
+        longest_pause: Duration::from_millis(20),
+        list_interval: Duration::from_millis(20),
+        snapshot_every: 8,
+        kept_changes: 16,
+        ..Settings::default()
+    }
+}
+
+impl Client {
+    fn new(platform: &Platform) -> Client {
+        Client::with(settings(platform))
+    }
+
+    fn with(settings: Settings) -> Client {
+        let (sender, events) = mpsc::unbounded_channel();
+        let inbox = Inbox::spawn(sender).recipient();
+        Client {
+            store: Store::start(settings, 1, inbox).unwrap(),
+            events,
+            configuration: Configuration::default(),
+        }
+    }
+
+    async fn append(&self, record: Record) -> Result<Revision, StoreError> {
+        self.store.ask(Append(record)).await.map_err(own)
+    }
+
+    async fn append_all(&self, revisions: std::ops::RangeInclusive<u64>) {
+        for revision in revisions {
+            let written = self.append(record(revision, 0)).await.unwrap();
+            assert_eq!(written, Revision(revision));
+        }
+    }
+
+    async fn read(&mut self, after: u64) -> Revision {
+        let read = self.store.ask(ReadAfter(Revision(after)));
+        read.await.map_err(own).unwrap()
+    }
+
+    async fn watch(&self, after: u64) {
+        let after = Revision(after);
+        self.store.tell(Watch::Hold { after }).await.unwrap();
+    }
+
+    /// Applies events until a revision is reached. Each record has to arrive once.
+    async fn reach(&mut self, revision: u64) {
+        while self.configuration.revision < Revision(revision) {
+            match self.events.recv().await.unwrap() {
+                Event::Snapshot(snapshot) => self.configuration = (*snapshot).clone(),
+                Event::Records(records) => {
+                    let apply = |r| self.configuration.apply(r).unwrap();
+                    records.iter().for_each(apply);
+                }
+                _ => (),
+            }
+        }
+        assert_eq!(self.configuration.revision, Revision(revision));
+    }
+
+    async fn platform_is(&mut self, answers: bool) {
+        loop {
+            if let Event::Platform(now) = self.events.recv().await.unwrap()
+                && now == answers
+            {
+                return;
+            }
+        }
+    }
+
+    async fn listed(&mut self, wanted: &[Listed]) {
+        loop {
+            if let Event::Listed(list) = self.events.recv().await.unwrap()
+                && list == wanted
+            {
+                return;
+            }
+        }
+    }
+}
+
+fn own<M: std::fmt::Debug>(error: SendError<M, StoreError>) -> StoreError {
+    match error {
+        SendError::HandlerError(error) => error,
+        other => panic!("the store is gone: {other:?}"),
+    }
+}
+
+/// A record that creates a zone named by its revision and an operator.
+fn record(revision: u64, operator: u8) -> Record {
+    let change = Change::CreateZone {
+        name: format!("z{revision}-{operator}"),
+        region: "south".to_owned(),
+    };
+    Record {
+        revision: Revision(revision),
+        operation: OperationId(u128::from(revision) << 8 | u128::from(operator)),
+        changes: vec![change],
+    }
+}
+
+fn expected(revisions: u64) -> Configuration {
+    let mut configuration = Configuration::default();
+    (1..=revisions).for_each(|n| configuration.apply(&record(n, 0)).unwrap());
+    configuration
+}
+
+/// Records that create as many backend servers as there can be, with the longest names.
+fn long_records(revisions: u64) -> Vec<Record> {
+    let name = |n: u64| format!("{n:063}");
+    let base = vec![
+        Change::CreateZone {
+            name: name(0),
+            region: name(0),
+        },
+        Change::PutService {
+            name: name(0),
+            address: SocketAddr::from(([10, 0, 0, 1], 53)),
+            idle: Duration::from_secs(60),
+        },
+        Change::CreatePool {
+            name: name(0),
+            service: name(0),
+            zone: name(0),
+        },
+    ];
+    let many = MAX_CHANGES as u64;
+    let servers = |r: u64| {
+        let server = |n| Change::PutServer {
+            name: name(r * many + n),
+            pool: name(0),
+            address: SocketAddr::from(([10, 0, 0, 2], 7000)),
+            health: SocketAddr::from(([10, 0, 0, 2], 7001)),
+            weight: 1,
+            slots: 4,
+            connections: 2000,
+        };
+        (0..many).map(server).collect()
+    };
+    let changes = std::iter::once(base).chain((2..=revisions).map(servers));
+    let record = |(n, changes)| Record {
+        revision: Revision(n),
+        operation: OperationId(u128::from(n)),
+        changes,
+    };
+    (1..).zip(changes).map(record).collect()
+}
+
+/// Watches one key from the beginning.
+struct KeyWatch {
+    responses: Streaming<WatchResponse>,
+    _requests: mpsc::Sender<WatchRequest>,
+}
+
+impl KeyWatch {
+    async fn open(platform: &Platform, key: &'static str) -> KeyWatch {
+        let (requests, receiver) = mpsc::channel(1);
+        let create = WatchCreateRequest {
+            key: key.into(),
+            start_revision: 1,
+            ..WatchCreateRequest::default()
+        };
+        let request_union = Some(RequestUnion::CreateRequest(create));
+        requests.send(WatchRequest { request_union }).await.unwrap();
+        let mut client = WatchClient::connect(platform.url()).await.unwrap();
+        let receiver = tokio_stream::wrappers::ReceiverStream::new(receiver);
+        KeyWatch {
+            responses: client.watch(receiver).await.unwrap().into_inner(),
+            _requests: requests,
+        }
+    }
+
+    /// Returns the next value that is written.
+    async fn next(&mut self) -> Vec<u8> {
+        loop {
+            let response = self.responses.next().await.unwrap().unwrap();
+            if let Some(kv) = response.events.into_iter().find_map(|e| e.kv) {
+                return kv.value.to_vec();
+            }
+        }
+    }
+
+    async fn head_from(&mut self, revision: u64) -> Head {
+        loop {
+            let head = decode_head(&self.next().await).unwrap();
+            if head.revision >= Revision(revision) {
+                return head;
+            }
+        }
+    }
+}
+
+fn listed(id: u64, state: MemberState) -> Listed {
+    let address = SocketAddr::from(([127, 0, 0, 1], 9));
+    let member = Member {
+        id: InstanceId(id),
+        zone: ZoneId(3),
+        control: address,
+        relay: address,
+    };
+    Listed { member, state }
+}
+
+cases! {
+    /// Guards against a change that is applied twice or reported as failed after a lost answer.
+    lost_answer_is_a_success => {
+        let platform = Platform::start().await.unwrap();
+        let client = Client::new(&platform);
+        platform.lose_next_answer().await.unwrap();
+        client.append_all(1..=1).await;
+        client.append_all(1..=1).await;
+        assert_eq!(platform.keys("config/change/").await.unwrap().len(), 1);
+    };
+    /// Guards against an unknown outcome that is reported as a failure.
+    unknown_outcome_is_reported_and_repeatable => {
+        let platform = Platform::start().await.unwrap();
+        let client = Client::with(Settings { write_attempts: 1, ..settings(&platform) });
+        platform.lose_next_answer().await.unwrap();
+        let unknown = client.append(record(1, 0)).await.unwrap_err();
+        assert!(matches!(unknown, StoreError::Unknown { revision: Revision(1) }));
+        client.append_all(1..=1).await;
+    };
+    /// Guards against two operators who both believe that their change was the next one.
+    one_of_two_operators_wins => {
+        let platform = Platform::start().await.unwrap();
+        let (one, two) = (Client::new(&platform), Client::new(&platform));
+        let both = tokio::join!(one.append(record(1, 1)), two.append(record(1, 2)));
+        let lost = match both {
+            (Ok(_), Err(lost)) | (Err(lost), Ok(_)) => lost,
+            other => panic!("{other:?}"),
+        };
+        assert!(matches!(lost, StoreError::Conflict { present: Revision(1) }));
+    };
+    /// Guards against a gap in the log.
+    record_after_a_gap_is_a_conflict => {
+        let platform = Platform::start().await.unwrap();
+        let client = Client::new(&platform);
+        client.append_all(1..=2).await;
+        let refused = client.append(record(5, 0)).await.unwrap_err();
+        assert!(matches!(refused, StoreError::Conflict { present: Revision(2) }));
+    };
+    /// Guards against an outage that goes unnoticed, or is reported as an unknown outcome, and
+    /// against a watch that stays broken.
+    outage_is_reported_and_the_watch_resumes => {
+        let platform = Platform::start().await.unwrap();
+        let (mut watcher, writer) = (Client::new(&platform), Client::new(&platform));
+        watcher.watch(0).await;
+        writer.append_all(1..=3).await;
+        watcher.reach(3).await;
+        platform.set_down(true).await.unwrap();
+        watcher.platform_is(false).await;
+        let refused = writer.append(record(4, 0)).await.unwrap_err();
+        assert!(matches!(refused, StoreError::Unavailable(_)));
+        platform.set_down(false).await.unwrap();
+        watcher.platform_is(true).await;
+        writer.append_all(4..=6).await;
+        watcher.reach(6).await;
+    };
+    /// Guards against a broken watch that loses records, repeats them or reads the log again,
+    /// and against a waiting watch that makes further calls.
+    broken_watch_resumes_where_it_was => {
+        let platform = Platform::start().await.unwrap();
+        let (mut watcher, writer) = (Client::new(&platform), Client::new(&platform));
+        watcher.watch(0).await;
+        writer.append_all(1..=2).await;
+        watcher.reach(2).await;
+        let before = platform.counts().await.unwrap();
+        assert_eq!((before.watches, before.waiting), (1, 1));
+        platform.break_watches().await.unwrap();
+        writer.append_all(3..=4).await;
+        watcher.reach(4).await;
+        let after = platform.counts().await.unwrap();
+        assert_eq!((after.watches, after.ranges), (2, before.ranges));
+    };
+    /// Guards against a watch that waits for ever after the history it needs was dropped.
+    compacted_watch_reads_the_log => {
+        let platform = Platform::start().await.unwrap();
+        let (mut watcher, writer) = (Client::new(&platform), Client::new(&platform));
+        watcher.watch(0).await;
+        writer.append_all(1..=2).await;
+        watcher.reach(2).await;
+        platform.set_down(true).await.unwrap();
+        watcher.platform_is(false).await;
+        let missed = lovagespindle_platform::codec::encode_record(&record(3, 0));
+        platform.put(keys::change(Revision(3)), missed).await.unwrap();
+        platform.compact().await.unwrap();
+        platform.set_down(false).await.unwrap();
+        watcher.reach(3).await;
+        writer.append_all(4..=4).await;
+        watcher.reach(4).await;
+    };
+    /// Guards against a fresh instance that cannot start from a trimmed log, one far behind that
+    /// stays there, and a late write that brings a deleted change back.
+    fresh_readers_get_snapshot_and_later_records => {
+        let platform = Platform::start().await.unwrap();
+        let writer = Client::new(&platform);
+        let mut heads = KeyWatch::open(&platform, keys::HEAD).await;
+        for last in [8, 16, 24, 32, 40] {
+            writer.append_all(last - 7..=last).await;
+            heads.head_from(last).await;
+        }
+        writer.append_all(41..=43).await;
+        let changes = platform.keys("config/change/").await.unwrap();
+        assert_eq!(changes.first(), Some(&keys::change(Revision(24))));
+        let snapshots = platform.keys("config/snapshot/").await.unwrap();
+        assert_eq!(snapshots, [keys::part(Revision(32), 0), keys::part(Revision(40), 0)]);
+        for after in [0, 5] {
+            let mut reader = Client::new(&platform);
+            assert_eq!(reader.read(after).await, Revision(43));
+            reader.reach(43).await;
+            assert_eq!(reader.configuration, expected(43));
+        }
+        for late in [1, 23] {
+            let refused = writer.append(record(late, 9)).await.unwrap_err();
+            assert!(matches!(refused, StoreError::Conflict { present: Revision(43) }));
+        }
+        assert_eq!(platform.keys("config/change/").await.unwrap(), changes);
+    };
+    /// Guards against values that the service refuses.
+    values_stay_under_a_megabyte => {
+        let platform = Platform::start().await.unwrap();
+        let writer = Client::with(Settings { snapshot_every: 64, ..settings(&platform) });
+        let mut heads = KeyWatch::open(&platform, keys::HEAD).await;
+        let mut wanted = Configuration::default();
+        for record in long_records(64) {
+            wanted.apply(&record).unwrap();
+            writer.append(record).await.unwrap();
+        }
+        let head = heads.head_from(64).await;
+        assert!(head.parts > 1);
+        let longest = platform.counts().await.unwrap().longest;
+        assert!((800_000..1_000_000).contains(&longest), "{longest}");
+        let mut reader = Client::new(&platform);
+        reader.read(0).await;
+        reader.reach(64).await;
+        assert_eq!(reader.configuration, wanted);
+    };
+    /// Guards against a paused writer that publishes its snapshot after its lease lapsed.
+    snapshot_needs_the_lease_until_its_end => {
+        let platform = Platform::start().await.unwrap();
+        let writer = Client::new(&platform);
+        let mut heads = KeyWatch::open(&platform, keys::HEAD).await;
+        let mut claims = KeyWatch::open(&platform, keys::WRITER).await;
+        writer.append_all(1..=7).await;
+        platform.set_delay(Duration::from_millis(50)).await.unwrap();
+        writer.append_all(8..=8).await;
+        claims.next().await;
+        platform.expire_leases().await.unwrap();
+        platform.set_delay(Duration::ZERO).await.unwrap();
+        let mut next = 9;
+        let first = loop {
+            tokio::select! {
+                biased;
+                head = heads.next() => break decode_head(&head).unwrap(),
+                () = writer.append_all(next..=next) => next += 1,
+            }
+        };
+        assert!(first.revision > Revision(8));
+    };
+    /// Guards against two writers of snapshots at the same time.
+    snapshot_waits_for_another_writer => {
+        let platform = Platform::start().await.unwrap();
+        let writer = Client::new(&platform);
+        platform.put(keys::WRITER.into(), Default::default()).await.unwrap();
+        let mut next = 1;
+        while writer.store.ask(GetCounts).await.unwrap().snapshots == 0 {
+            writer.append_all(next..=next).await;
+            next += 1;
+        }
+        assert!(next > 8);
+        assert!(platform.keys("config/snapshot/").await.unwrap().is_empty());
+    };
+    /// Guards against a slow platform that blocks the store's actor.
+    slow_calls_end_and_delay_nothing_else => {
+        let platform = Platform::start().await.unwrap();
+        let client = Client::new(&platform);
+        platform.set_delay(Duration::from_secs(60)).await.unwrap();
+        let mut slow = Box::pin(client.append(record(1, 0)));
+        let counts = tokio::select! {
+            biased;
+            _ = &mut slow => panic!("the slow call was first"),
+            counts = client.store.ask(GetCounts) => counts.unwrap(),
+        };
+        assert_eq!(counts.calls, 0);
+        assert!(matches!(slow.await.unwrap_err(), StoreError::Timeout));
+        let counts = client.store.ask(GetCounts).await.unwrap();
+        assert_eq!((counts.calls, counts.failures), (1, 1));
+    };
+    /// Guards against a list that is read once or that costs a call for each zone.
+    list_is_polled_and_may_lag => {
+        let platform = Platform::start().await.unwrap();
+        let mut client = Client::new(&platform);
+        let live = [listed(1, MemberState::Live), listed(2, MemberState::Live)];
+        let leaving = [listed(1, MemberState::Leaving)];
+        platform.set_list("north", &live).await.unwrap();
+        let zones = vec![("north".to_owned(), ZoneId(3)), ("east".to_owned(), ZoneId(4))];
+        client.store.tell(ReadList { zones }).await.unwrap();
+        client.listed(&live).await;
+        platform.lag_list(true).await.unwrap();
+        platform.set_list("north", &leaving).await.unwrap();
+        for _ in 0..2 {
+            client.listed(&live).await;
+        }
+        platform.lag_list(false).await.unwrap();
+        client.listed(&leaving).await;
+        let counts = platform.counts().await.unwrap();
+        assert_eq!((counts.ranges, counts.calls()), (0, counts.txns));
+    };
+}
