--- a/stand-ins/src/platform.rs
+++ b/stand-ins/src/platform.rs
@@ -25,7 +25,10 @@
 use tonic::transport::Server;
 
 use crate::platform_calls::Calls;
-use crate::platform_data::Data;
+use crate::platform_data::{
+    Data,
+    Hold, //
+};
 
 /// How many calls the service got. Calls count even if it is down.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -44,6 +47,8 @@
     pub watches: u64,
     /// Watches that wait at the moment.
     pub waiting: usize,
+    /// Changes that were sent to watches.
+    pub events: u64,
     /// The length of the longest value that was written.
     pub longest: usize,
 }
@@ -79,6 +84,26 @@
     }
 }
 
+/// A write that is held back, or will be once it is there.
+pub struct HeldWrite {
+    reached: oneshot::Receiver<()>,
+    release: oneshot::Sender<()>,
+}
+
+impl HeldWrite {
+    /// Waits until the write is there.
+    pub async fn reached(&mut self) {
+        // An error says that the stand-in has stopped, which the next call shows as well.
+        let _ = (&mut self.reached).await;
+    }
+
+    /// Lets the write take effect, even if its caller has given up.
+    pub fn release(self) {
+        // Fails only if the write never came.
+        let _ = self.release.send(());
+    }
+}
+
 /// A running stand-in. Dropping it stops the service.
 pub struct Platform {
     address: SocketAddr,
@@ -123,6 +148,21 @@
         self.jobs.run(|data| data.faults.lose = true).await
     }
 
+    /// Holds back the next transaction that may write.
+    pub async fn hold_next_write(&self) -> Result<HeldWrite, Status> {
+        let (reached, wait) = oneshot::channel();
+        let (release, released) = oneshot::channel();
+        let hold = Hold {
+            reached,
+            release: released,
+        };
+        self.jobs.run(|data| data.faults.hold = Some(hold)).await?;
+        Ok(HeldWrite {
+            reached: wait,
+            release,
+        })
+    }
+
     /// Shows the list of instances as it is now (true), whatever is written, or as it is written
     /// (false).
     pub async fn lag_list(&self, lag: bool) -> Result<(), Status> {
@@ -139,6 +179,13 @@
         self.jobs.run(Data::expire_all).await
     }
 
+    /// Ends all leases as soon as a key with a prefix is written.
+    pub async fn expire_leases_after(&self, prefix: &'static str) -> Result<(), Status> {
+        self.jobs
+            .run(move |data| data.faults.expire = Some(prefix))
+            .await
+    }
+
     /// Ends all watches, as a broken connection does.
     pub async fn break_watches(&self) -> Result<(), Status> {
         self.jobs.run(Data::break_watches).await
--- a/stand-ins/src/platform_calls.rs
+++ b/stand-ins/src/platform_calls.rs
@@ -19,10 +19,12 @@
     PutResponse,
     RangeRequest,
     RangeResponse,
+    RequestOp,
     TxnRequest,
     TxnResponse,
     WatchRequest,
-    WatchResponse, //
+    WatchResponse,
+    request_op, //
 };
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -51,7 +53,7 @@
         Calls { jobs }
     }
 
-    /// Counts and runs a call with the faults that are set.
+    /// Counts and runs a call with the faults that are set. It goes on if its caller gives up.
     async fn call<T: Send + 'static>(
         &self,
         count: impl FnOnce(&mut Data) + Send + 'static,
@@ -62,9 +64,29 @@
             require_up(data).map(|()| data.faults.delay)
         };
         let delay = self.jobs.run(counted).await??;
-        tokio::time::sleep(delay).await;
-        self.jobs.run(move |data| run_or_lose(data, run)).await?
+        let jobs = self.jobs.clone();
+        let late = tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            jobs.run(move |data| run_or_lose(data, run)).await?
+        });
+        let ended = late.await;
+        ended.map_err(|_| Status::internal("the call panicked"))?
     }
+
+    /// Waits as long as a write is held back.
+    async fn wait_for_release(&self) -> Result<(), Status> {
+        let Some(hold) = self.jobs.run(|data| data.faults.hold.take()).await? else {
+            return Ok(());
+        };
+        // Errors say that the test no longer holds the write.
+        let _ = hold.reached.send(());
+        let _ = hold.release.await;
+        Ok(())
+    }
+}
+
+fn is_put(op: &RequestOp) -> bool {
+    matches!(op.request, Some(request_op::Request::RequestPut(_)))
 }
 
 fn require_up(data: &Data) -> Result<(), Status> {
@@ -116,9 +138,17 @@
 
     async fn txn(&self, request: Request<TxnRequest>) -> Answer<TxnResponse> {
         let request = request.into_inner();
-        let run = move |data: &mut Data| data.txn(request);
-        let answer = self.call(|data| data.counts.txns += 1, run);
-        answer.await.map(Response::new)
+        let calls = self.clone();
+        let late = tokio::spawn(async move {
+            if request.success.iter().any(is_put) {
+                calls.wait_for_release().await?;
+            }
+            let run = move |data: &mut Data| data.txn(request);
+            calls.call(|data| data.counts.txns += 1, run).await
+        });
+        let ended = late.await;
+        let answer = ended.map_err(|_| Status::internal("the call panicked"))??;
+        Ok(Response::new(answer))
     }
 }
 
@@ -175,7 +205,7 @@
         };
         let (responses, stream) = mpsc::unbounded_channel();
         let open = move |data: &mut Data| {
-            data.watches.open(data.revision, create, responses);
+            data.counts.events += data.watches.open(data.revision, create, responses);
             Ok(())
         };
         self.call(|data| data.counts.watches += 1, open).await?;
--- a/stand-ins/src/platform_data.rs
+++ b/stand-ins/src/platform_data.rs
@@ -30,6 +30,7 @@
     Event,
     KeyValue, //
 };
+use tokio::sync::oneshot;
 use tonic::Status;
 
 use crate::platform::Counts;
@@ -41,6 +42,14 @@
 
 const LIST: &[u8] = b"instances/";
 
+/// Holds a call back.
+pub(crate) struct Hold {
+    /// Told once the call is there.
+    pub(crate) reached: oneshot::Sender<()>,
+    /// Ends the hold.
+    pub(crate) release: oneshot::Receiver<()>,
+}
+
 /// What goes wrong.
 #[derive(Default)]
 pub(crate) struct Faults {
@@ -48,6 +57,10 @@
     pub(crate) delay: Duration,
     /// Whether the answer of the next write is lost.
     pub(crate) lose: bool,
+    /// Held back: the next transaction that may write.
+    pub(crate) hold: Option<Hold>,
+    /// All leases end once a key with this prefix is written.
+    pub(crate) expire: Option<&'static str>,
 }
 
 /// The state of the service.
@@ -281,6 +294,17 @@
         }
         self.revision += 1;
         let changed = std::mem::take(&mut self.changed);
-        self.watches.publish(self.revision, changed);
+        let expire = self.faults.expire;
+        let expires = expire.is_some_and(|prefix| changed.iter().any(|e| starts_with(e, prefix)));
+        self.counts.events += self.watches.publish(self.revision, changed);
+        if expires {
+            self.faults.expire = None;
+            self.expire_all();
+        }
     }
 }
+
+fn starts_with(event: &Event, prefix: &str) -> bool {
+    let kv = event.kv.as_ref();
+    kv.is_some_and(|kv| kv.key.starts_with(prefix.as_bytes()))
+}
--- a/stand-ins/src/platform_watch.rs
+++ b/stand-ins/src/platform_watch.rs
@@ -29,9 +29,11 @@
         }
     }
 
-    fn send(&self, revision: i64, events: &[Event]) {
+    /// Sends the events that it covers and returns how many they are.
+    fn send(&self, revision: i64, events: &[Event]) -> u64 {
         let events = events.iter().filter(|e| self.covers(e));
         let events: Vec<_> = events.cloned().collect();
+        let sent = events.len() as u64;
         if !events.is_empty() {
             let header = Some(ResponseHeader { revision });
             // Fails only after the client has gone.
@@ -41,6 +43,7 @@
                 ..WatchResponse::default()
             }));
         }
+        sent
     }
 }
 
@@ -54,7 +57,13 @@
 }
 
 impl Watches {
-    pub(crate) fn open(&mut self, revision: i64, create: WatchCreateRequest, responses: Responses) {
+    /// Opens a watch and returns how many past events it sent.
+    pub(crate) fn open(
+        &mut self,
+        revision: i64,
+        create: WatchCreateRequest,
+        responses: Responses,
+    ) -> u64 {
         let start = match create.start_revision {
             0 => revision + 1,
             start => start,
@@ -70,24 +79,25 @@
         // Fails only after the client has gone.
         let _ = responses.send(Ok(confirmation));
         if refused {
-            return;
+            return 0;
         }
         let watch = Watch {
             key: create.key,
             end: create.range_end,
             responses,
         };
-        for (revision, events) in self.history.iter().filter(|(r, _)| *r >= start) {
-            watch.send(*revision, events);
-        }
+        let past = self.history.iter().filter(|(r, _)| *r >= start);
+        let sent = past.map(|(r, events)| watch.send(*r, events)).sum();
         self.watches.push(watch);
+        sent
     }
 
-    pub(crate) fn publish(&mut self, revision: i64, events: Vec<Event>) {
-        for watch in &self.watches {
-            watch.send(revision, &events);
-        }
+    /// Sends the events of a call and returns how many were sent.
+    pub(crate) fn publish(&mut self, revision: i64, events: Vec<Event>) -> u64 {
+        let watches = self.watches.iter();
+        let sent = watches.map(|w| w.send(revision, &events)).sum();
         self.history.push((revision, events));
+        sent
     }
 
     pub(crate) fn compact(&mut self, revision: i64) {
--- a/stand-ins/tests/platform.rs
+++ b/stand-ins/tests/platform.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use kameo::actor::{
     Actor,
     ActorRef,
@@ -38,7 +39,8 @@
 };
 use lovagespindle_platform::codec::{
     Head,
-    decode_head, //
+    decode_head,
+    encode_record, //
 };
 use lovagespindle_platform::generated::etcdserverpb::watch_client::WatchClient;
 use lovagespindle_platform::generated::etcdserverpb::watch_request::RequestUnion;
@@ -261,7 +263,7 @@
 }
 
 impl KeyWatch {
-    async fn open(platform: &Platform, key: &'static str) -> KeyWatch {
+    async fn open(platform: &Platform, key: impl Into<Bytes>) -> KeyWatch {
         let (requests, receiver) = mpsc::channel(1);
         let create = WatchCreateRequest {
             key: key.into(),
@@ -379,6 +381,44 @@
         watcher.reach(4).await;
         let after = platform.counts().await.unwrap();
         assert_eq!((after.watches, after.ranges), (2, before.ranges));
+        assert_eq!(after.events, 4);
+    };
+    /// Guards against a repeated notice that is delivered again or has the log read again.
+    repeated_notice_is_ignored => {
+        let platform = Platform::start().await.unwrap();
+        let (mut watcher, writer) = (Client::new(&platform), Client::new(&platform));
+        watcher.watch(0).await;
+        writer.append_all(1..=2).await;
+        watcher.reach(2).await;
+        let before = platform.counts().await.unwrap();
+        let again = encode_record(&record(1, 0));
+        platform.put(keys::change(Revision(1)), again).await.unwrap();
+        writer.append_all(3..=3).await;
+        watcher.reach(3).await;
+        let after = platform.counts().await.unwrap();
+        assert_eq!((after.watches, after.ranges), (1, before.ranges));
+    };
+    /// Guards against a delayed write that brings back a change that was deleted meanwhile.
+    late_write_finds_the_log_elsewhere => {
+        let platform = Platform::start().await.unwrap();
+        let patient = Duration::from_secs(10);
+        let paused = Client::with(Settings { call_timeout: patient, ..settings(&platform) });
+        let writer = Client::new(&platform);
+        let mut heads = KeyWatch::open(&platform, keys::HEAD).await;
+        writer.append_all(1..=1).await;
+        let mut held = platform.hold_next_write().await.unwrap();
+        let release = async {
+            held.reached().await;
+            for last in [8, 16, 24, 32, 40] {
+                writer.append_all(last.max(9) - 7..=last).await;
+                heads.head_from(last).await;
+            }
+            held.release();
+        };
+        let (late, ()) = tokio::join!(paused.append(record(2, 9)), release);
+        assert!(matches!(late, Err(StoreError::Conflict { present: Revision(40) })), "{late:?}");
+        let first = platform.keys("config/change/").await.unwrap().remove(0);
+        assert_eq!(first, keys::change(Revision(24)));
     };
     /// Guards against a watch that waits for ever after the history it needs was dropped.
     compacted_watch_reads_the_log => {
@@ -389,7 +429,7 @@
         watcher.reach(2).await;
         platform.set_down(true).await.unwrap();
         watcher.platform_is(false).await;
-        let missed = lovagespindle_platform::codec::encode_record(&record(3, 0));
+        let missed = encode_record(&record(3, 0));
         platform.put(keys::change(Revision(3)), missed).await.unwrap();
         platform.compact().await.unwrap();
         platform.set_down(false).await.unwrap();
@@ -448,13 +488,11 @@
         let platform = Platform::start().await.unwrap();
         let writer = Client::new(&platform);
         let mut heads = KeyWatch::open(&platform, keys::HEAD).await;
-        let mut claims = KeyWatch::open(&platform, keys::WRITER).await;
-        writer.append_all(1..=7).await;
-        platform.set_delay(Duration::from_millis(50)).await.unwrap();
-        writer.append_all(8..=8).await;
-        claims.next().await;
-        platform.expire_leases().await.unwrap();
-        platform.set_delay(Duration::ZERO).await.unwrap();
+        let part = keys::part(Revision(8), 0);
+        let mut parts = KeyWatch::open(&platform, part).await;
+        platform.expire_leases_after("config/snapshot/").await.unwrap();
+        writer.append_all(1..=8).await;
+        parts.next().await;
         let mut next = 9;
         let first = loop {
             tokio::select! {
@@ -469,7 +507,7 @@
     snapshot_waits_for_another_writer => {
         let platform = Platform::start().await.unwrap();
         let writer = Client::new(&platform);
-        platform.put(keys::WRITER.into(), Default::default()).await.unwrap();
+        platform.put(keys::WRITER.into(), Bytes::new()).await.unwrap();
         let mut next = 1;
         while writer.store.ask(GetCounts).await.unwrap().snapshots == 0 {
             writer.append_all(next..=next).await;
