--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod platform;
 mod platform_calls;
+mod platform_connection;
 mod platform_data;
 mod platform_lease;
 mod platform_watch;
--- a/stand-ins/src/platform.rs
+++ b/stand-ins/src/platform.rs
@@ -17,14 +17,17 @@
 use tokio::net::TcpListener;
 use tokio::sync::{
     mpsc,
-    oneshot, //
+    oneshot,
+    watch, //
 };
 use tokio::task::JoinSet;
+use tokio_stream::StreamExt;
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::Status;
 use tonic::transport::Server;
 
 use crate::platform_calls::Calls;
+use crate::platform_connection::Connection;
 use crate::platform_data::{
     Data,
     Hold, //
@@ -108,6 +111,7 @@
 pub struct Platform {
     address: SocketAddr,
     jobs: Jobs,
+    silenced: watch::Sender<u64>,
     _tasks: JoinSet<()>,
 }
 
@@ -120,10 +124,12 @@
         let jobs = Jobs(sender);
         let mut tasks = JoinSet::new();
         tasks.spawn(own(receiver));
-        tasks.spawn(serve(listener, Calls::new(jobs.clone())));
+        let (silenced, silence) = watch::channel(0);
+        tasks.spawn(serve(listener, silence, Calls::new(jobs.clone())));
         Ok(Platform {
             address,
             jobs,
+            silenced,
             _tasks: tasks,
         })
     }
@@ -191,6 +197,11 @@
         self.jobs.run(Data::break_watches).await
     }
 
+    /// Silences all open connections for ever. New ones work.
+    pub fn silence_connections(&self) {
+        self.silenced.send_modify(|times| *times += 1);
+    }
+
     /// Drops the history, so that no watch can start before now.
     pub async fn compact(&self) -> Result<(), Status> {
         self.jobs.run(Data::compact).await
@@ -219,12 +230,14 @@
     }
 }
 
-async fn serve(listener: TcpListener, calls: Calls) {
+async fn serve(listener: TcpListener, silence: watch::Receiver<u64>, calls: Calls) {
+    let streams = TcpListenerStream::new(listener);
+    let connections = streams.map(|s| s.map(|s| Connection::new(s, silence.clone())));
     // Fails only if the listener breaks; the clients then see an outage.
     let _ = Server::builder()
         .add_service(KvServer::new(calls.clone()))
         .add_service(WatchServer::new(calls.clone()))
         .add_service(LeaseServer::new(calls))
-        .serve_with_incoming(TcpListenerStream::new(listener))
+        .serve_with_incoming(connections)
         .await;
 }
--- a/stand-ins/tests/platform.rs
+++ b/stand-ins/tests/platform.rs
@@ -383,6 +383,23 @@
         assert_eq!((after.watches, after.ranges), (2, before.ranges));
         assert_eq!(after.events, 4);
     };
+    /// Guards against a watch that waits for ever on a connection that went silent.
+    silent_connection_is_replaced => {
+        let platform = Platform::start().await.unwrap();
+        let probe = Duration::from_millis(100);
+        let probing = Settings {
+            probe_interval: probe,
+            probe_timeout: probe,
+            ..settings(&platform)
+        };
+        let mut watcher = Client::with(probing);
+        watcher.watch(0).await;
+        Client::new(&platform).append_all(1..=2).await;
+        watcher.reach(2).await;
+        platform.silence_connections();
+        Client::new(&platform).append_all(3..=3).await;
+        watcher.reach(3).await;
+    };
     /// Guards against a repeated notice that is delivered again or has the log read again.
     repeated_notice_is_ignored => {
         let platform = Platform::start().await.unwrap();
