--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod error;
 pub mod platform;
 mod platform_calls;
+mod platform_connection;
 mod platform_data;
 mod platform_lease;
 mod platform_watch;
--- a/stand-ins/src/platform.rs
+++ b/stand-ins/src/platform.rs
@@ -17,15 +17,21 @@
 use tokio::net::TcpListener;
 use tokio::sync::{
     mpsc,
-    oneshot, //
+    oneshot,
+    watch, //
 };
 use tokio::task::JoinSet;
+use tokio_stream::StreamExt;
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::Status;
 use tonic::transport::Server;
 
 use crate::platform_calls::Calls;
-use crate::platform_data::Data;
+use crate::platform_connection::Connection;
+use crate::platform_data::{
+    Data,
+    Hold, //
+};
 
 /// How many calls the service got. Calls count even if it is down.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -44,6 +50,8 @@
     pub watches: u64,
     /// Watches that wait at the moment.
     pub waiting: usize,
+    /// Changes that were sent to watches.
+    pub events: u64,
     /// The length of the longest value that was written.
     pub longest: usize,
 }
@@ -79,10 +87,31 @@
     }
 }
 
+/// A write that is held back, or will be once it is there.
+pub struct HeldWrite {
+    reached: oneshot::Receiver<()>,
+    release: oneshot::Sender<()>,
+}
+
+impl HeldWrite {
+    /// Waits until the write is there.
+    pub async fn reached(&mut self) {
+        // An error says that the stand-in has stopped, which the next call shows as well.
+        let _ = (&mut self.reached).await;
+    }
+
+    /// Lets the write take effect, even if its caller has given up.
+    pub fn release(self) {
+        // Fails only if the write never came.
+        let _ = self.release.send(());
+    }
+}
+
 /// A running stand-in. Dropping it stops the service.
 pub struct Platform {
     address: SocketAddr,
     jobs: Jobs,
+    silenced: watch::Sender<u64>,
     _tasks: JoinSet<()>,
 }
 
@@ -95,10 +124,12 @@
         let jobs = Jobs(sender);
         let mut tasks = JoinSet::new();
         tasks.spawn(own(receiver));
-        tasks.spawn(serve(listener, Calls::new(jobs.clone())));
+        let (silenced, silence) = watch::channel(0);
+        tasks.spawn(serve(listener, silence, Calls::new(jobs.clone())));
         Ok(Platform {
             address,
             jobs,
+            silenced,
             _tasks: tasks,
         })
     }
@@ -123,6 +154,21 @@
         self.jobs.run(|data| data.faults.lose = true).await
     }
 
+    /// Holds back the next transaction that may write.
+    pub async fn hold_next_write(&self) -> Result<HeldWrite, Status> {
+        let (reached, wait) = oneshot::channel();
+        let (release, released) = oneshot::channel();
+        let hold = Hold {
+            reached,
+            release: released,
+        };
+        self.jobs.run(|data| data.faults.hold = Some(hold)).await?;
+        Ok(HeldWrite {
+            reached: wait,
+            release,
+        })
+    }
+
     /// Shows the list of instances as it is now (true), whatever is written, or as it is written
     /// (false).
     pub async fn lag_list(&self, lag: bool) -> Result<(), Status> {
@@ -139,11 +185,23 @@
         self.jobs.run(Data::expire_all).await
     }
 
+    /// Ends all leases as soon as a key with a prefix is written.
+    pub async fn expire_leases_after(&self, prefix: &'static str) -> Result<(), Status> {
+        self.jobs
+            .run(move |data| data.faults.expire = Some(prefix))
+            .await
+    }
+
     /// Ends all watches, as a broken connection does.
     pub async fn break_watches(&self) -> Result<(), Status> {
         self.jobs.run(Data::break_watches).await
     }
 
+    /// Silences all open connections for ever. New ones work.
+    pub fn silence_connections(&self) {
+        self.silenced.send_modify(|times| *times += 1);
+    }
+
     /// Drops the history, so that no watch can start before now.
     pub async fn compact(&self) -> Result<(), Status> {
         self.jobs.run(Data::compact).await
@@ -172,12 +230,14 @@
     }
 }
 
-async fn serve(listener: TcpListener, calls: Calls) {
+async fn serve(listener: TcpListener, silence: watch::Receiver<u64>, calls: Calls) {
+    let streams = TcpListenerStream::new(listener);
+    let connections = streams.map(|s| s.map(|s| Connection::new(s, silence.clone())));
     // Fails only if the listener breaks; the clients then see an outage.
     let _ = Server::builder()
         .add_service(KvServer::new(calls.clone()))
         .add_service(WatchServer::new(calls.clone()))
         .add_service(LeaseServer::new(calls))
-        .serve_with_incoming(TcpListenerStream::new(listener))
+        .serve_with_incoming(connections)
         .await;
 }
