Let instances keep the platform's list

Each instance puts itself on its zone's list; the zone's watchers take off members that died or never answered. No entry has to be renewed, so the calls to the store do not grow with time.

--- a/daemon/src/edges.rs
+++ b/daemon/src/edges.rs
@@ -287,6 +287,14 @@
                 let zones = self.region_zones(configuration);
                 let _ = self.store.tell(store::ReadList { zones }).await;
             }
+            Action::Enlist(listed) => {
+                let zone = self.zone.clone();
+                let _ = self.store.tell(store::Enlist { zone, listed }).await;
+            }
+            Action::Unlist(instance) => {
+                let zone = self.zone.clone();
+                let _ = self.store.tell(store::Unlist { zone, instance }).await;
+            }
             Action::Note(occurrence) => {
                 occurrences::log(&occurrence);
                 let _ = self.timeline.tell(Note(occurrence)).await;
--- a/decisions/src/action.rs
+++ b/decisions/src/action.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::event::Listed;
 use crate::ids::{
     BackendServerId,
     InstanceId,
@@ -76,6 +77,10 @@
     },
     /// Read the platform's list of instances.
     ReadList,
+    /// Put this instance on the platform's list, in place of its earlier entry.
+    Enlist(Listed),
+    /// Take an instance of the own zone off the platform's list.
+    Unlist(InstanceId),
     /// Note a change of state on the time line.
     Note(Occurrence),
     /// Everything is handed over: the process may stop.
--- a/decisions/src/instance.rs
+++ b/decisions/src/instance.rs
@@ -27,6 +27,7 @@
     Revision,
     ServiceId, //
 };
+use crate::listing::Listing;
 use crate::membership::{
     Context,
     Membership,
@@ -111,6 +112,7 @@
     /// One for each configured service.
     pub(crate) budgets: FxHashMap<ServiceId, RetryBudget>,
     pub(crate) spread: Spread,
+    pub(crate) listing: Listing,
     pub(crate) counters: Counters,
     pub(crate) platform: bool,
     pub(crate) started: bool,
@@ -145,6 +147,7 @@
             exceptions: Vec::new(),
             budgets: FxHashMap::default(),
             spread: Spread::default(),
+            listing: Listing::default(),
             counters: Counters::default(),
             platform: true,
             started: false,
@@ -190,7 +193,7 @@
             Event::PeerMessage { from, message } => self.on_peer(now, from, *message, out),
             Event::Records(records) => self.on_records(now, records, out),
             Event::Snapshot(snapshot) => self.on_snapshot(now, &snapshot, out),
-            Event::Listed(list) => self.membership.listed(now, &list),
+            Event::Listed(list) => self.on_listed(now, &list, out),
             Event::Platform(answers) => self.on_platform(answers, out),
             Event::Health {
                 backend_server,
--- a/decisions/src/lib.rs
+++ b/decisions/src/lib.rs
@@ -25,6 +25,7 @@
 mod hosting;
 pub mod ids;
 pub mod instance;
+pub mod listing;
 mod members;
 pub mod membership;
 pub mod occurrence;
--- a/decisions/src/upkeep.rs
+++ b/decisions/src/upkeep.rs
@@ -17,6 +17,7 @@
 use crate::instance::Instance;
 use crate::occurrence::Occurrence;
 use crate::packet::Reason;
+use crate::peer::MemberState;
 use crate::requests::{
     Progress,
     RequestKey, //
@@ -284,6 +285,7 @@
         self.next_pass = now;
         out.push(Action::Note(Occurrence::Leaving));
         self.membership.leaving(now);
+        self.enlist(MemberState::Leaving, out);
         self.refresh_owners(now, out);
     }
 
@@ -300,6 +302,7 @@
         }
         self.stopped = true;
         self.membership.leave(now, out);
+        out.push(Action::Unlist(self.member.id));
         out.push(Action::Note(Occurrence::Left));
         out.push(Action::Stop);
     }
--- a/stand-ins/src/platform.rs
+++ b/stand-ins/src/platform.rs
@@ -177,7 +177,9 @@
 
     /// Writes the list of one zone's instances.
     pub async fn set_list(&self, zone: &str, list: &[Listed]) -> Result<(), Status> {
-        self.put(keys::instances(zone), encode_list(list)).await
+        let mut key = keys::instances(zone).to_vec();
+        key.extend_from_slice(b"all");
+        self.put(key.into(), encode_list(list)).await
     }
 
     /// Ends all leases.
