Add the stand-ins of fabric, caller and backend server

Tests of the sockets and of the whole path need peers whose behaviour is known. The backend server runs requests in slots, sheds, drains, starts cold, falls over and counts executions per request; the caller checks that each part is of its own answer; the fabric sprays over the instances.

Changes of the stand-in are acknowledged, because a packet overtook an unacknowledged restart in 1 of 25 test runs.

--- a/backend-servers/tests/socket_tests.rs
+++ b/backend-servers/tests/socket_tests.rs
@@ -31,8 +31,10 @@
 use lovagespindle_stand_ins::cases;
 use lovagespindle_stand_ins::consumer::{
     Batches,
+    consumer, //
+};
+use lovagespindle_stand_ins::peer::{
     Peer,
-    consumer,
     localhost,
     packet,
     services, //
--- a/callers/tests/socket_tests.rs
+++ b/callers/tests/socket_tests.rs
@@ -32,9 +32,11 @@
 use lovagespindle_stand_ins::cases;
 use lovagespindle_stand_ins::consumer::{
     Batches,
+    consumer, //
+};
+use lovagespindle_stand_ins::peer::{
     PATIENCE,
     Peer,
-    consumer,
     localhost,
     packet,
     services, //
--- /dev/null
+++ b/stand-ins/src/caller.rs
@@ -0,0 +1,405 @@
+//! A stand-in of a caller.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use lovagespindle_datagram::{
+    Clock,
+    Services,
+    flow_id, //
+};
+use lovagespindle_decisions::ids::{
+    BackendServerId,
+    FlowId,
+    RequestId,
+    ServiceId, //
+};
+use lovagespindle_decisions::packet::{
+    Packet,
+    PacketKind,
+    Reason,
+    Route, //
+};
+use tokio::sync::{
+    mpsc,
+    oneshot, //
+};
+use tokio::time::{
+    Instant,
+    timeout_at, //
+};
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::caller_task::Task;
+use crate::error::Error;
+use crate::peer::{
+    localhost,
+    open_socket, //
+};
+use crate::work::{
+    Body,
+    Work, //
+};
+
+/// How a caller behaves.
+#[derive(Clone, Debug)]
+pub struct CallerSettings {
+    /// Where the fabric takes packets.
+    pub fabric: SocketAddr,
+    /// The services by address, to decode packets.
+    pub services: Services,
+    /// How long the caller waits for the next packet of an answer.
+    pub patience: Duration,
+    /// How often it sends an idempotent request; others are sent once.
+    pub attempts: u8,
+    /// Feeds the unique ids of flows.
+    pub seed: u64,
+}
+
+impl Default for CallerSettings {
+    fn default() -> CallerSettings {
+        CallerSettings {
+            fabric: localhost(),
+            services: Services::default(),
+            patience: Duration::from_millis(500),
+            attempts: 4,
+            seed: 0,
+        }
+    }
+}
+
+/// How a request ended for its caller.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ending {
+    /// The whole answer arrived.
+    Answered {
+        /// The backend server that answered.
+        server: BackendServerId,
+        /// How many parts the answer has.
+        parts: u32,
+    },
+    /// It did not run.
+    Refused(Option<Reason>),
+    /// It may have run.
+    Unknown(Option<Reason>),
+    /// The flow was closed.
+    Reset(Option<Reason>),
+    /// The caller gave it up.
+    GivenUp,
+    /// No answer, or only a part of it, arrived in time.
+    Silence {
+        /// How many parts arrived.
+        parts: u32,
+    },
+}
+
+/// What a caller saw.
+#[derive(Clone, Debug)]
+pub struct CallerReport {
+    /// Time from the first attempt to the last part of an answer, in microseconds.
+    pub latency: Histogram<u64>,
+    /// Requests that were answered in full.
+    pub answered: u64,
+    /// Requests that ended as refused.
+    pub refused: u64,
+    /// Requests that ended with unknown outcome.
+    pub unknown: u64,
+    /// Requests that ended because their flow was closed.
+    pub reset: u64,
+    /// Requests that the caller gave up.
+    pub given_up: u64,
+    /// Requests that ended without an answer.
+    pub silent: u64,
+    /// Attempts after the first.
+    pub repeats: u64,
+    /// Packets for requests that had ended or flows that were closed, such as late answers.
+    pub late: u64,
+    /// Packets that were not this caller's own: another caller's address, or an answer whose body
+    /// names another service, flow, request or part than the packet. Must stay 0.
+    pub foreign: u64,
+    /// Datagrams that could not be decoded. Must stay 0.
+    pub malformed: u64,
+}
+
+pub(crate) enum Command {
+    /// Take packets of a request until its receiver is dropped.
+    Await(FlowId, RequestId, mpsc::Sender<Packet>),
+    Send(Packet),
+    Ended(FlowId, RequestId, Ending, Duration),
+    Foreign,
+    Report(oneshot::Sender<CallerReport>),
+}
+
+/// A caller that runs until it is dropped. Its flows end with it.
+pub struct Caller {
+    /// Its address.
+    pub address: SocketAddr,
+    settings: CallerSettings,
+    clock: Clock,
+    commands: mpsc::Sender<Command>,
+    task: AbortOnDropHandle<()>,
+    /// Counts flows, for their unique ids.
+    opened: u64,
+}
+
+impl Caller {
+    /// Starts a caller.
+    pub async fn start(settings: CallerSettings) -> Result<Caller, Error> {
+        let socket = open_socket()?;
+        let address = socket.local_addr()?;
+        let clock = Clock::start();
+        let (commands, inbox) = mpsc::channel(64);
+        let task = Task::new(&settings, socket, address, clock, inbox)?;
+        Ok(Caller {
+            address,
+            settings,
+            clock,
+            commands,
+            task: AbortOnDropHandle::new(tokio::spawn(task.run())),
+            opened: 0,
+        })
+    }
+
+    /// Creates a flow to a service. Its first request opens it.
+    ///
+    /// `name` is what the service's backend servers are expected to call it.
+    pub fn flow(&mut self, address: SocketAddr, name: &str) -> Result<Flow, Error> {
+        let service = self.settings.services.find(address);
+        let route = Route {
+            caller: self.address,
+            address,
+            unique: u128::from(self.settings.seed) << 64 | u128::from(self.opened),
+        };
+        self.opened += 1;
+        Ok(Flow {
+            service: service.ok_or(Error::UnknownService(address))?,
+            name: name.to_owned(),
+            flow: flow_id(&route),
+            route,
+            settings: self.settings.clone(),
+            clock: self.clock,
+            commands: self.commands.clone(),
+            established: false,
+            next: 0,
+        })
+    }
+
+    /// Returns what the caller saw so far.
+    pub async fn report(&self) -> Result<CallerReport, Error> {
+        let (sender, report) = oneshot::channel();
+        let command = Command::Report(sender);
+        let sent = self.commands.send(command).await;
+        sent.map_err(|_| Error::Closed)?;
+        report.await.map_err(|_| Error::Closed)
+    }
+
+    /// Stops the caller and closes its socket.
+    pub async fn stop(self) {
+        self.task.abort();
+        let _ = self.task.await;
+    }
+}
+
+/// A request to make.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Order {
+    /// What the backend server shall do.
+    pub work: Work,
+    /// Whether the request may be sent again after a timeout.
+    pub idempotent: bool,
+    /// How long the caller wants to wait in all; told to the backend server.
+    pub deadline: Option<Duration>,
+    /// When the caller gives the request up and sends a cancel, if it is still without its end.
+    pub give_up: Option<Duration>,
+}
+
+/// A flow of a caller.
+pub struct Flow {
+    /// Its identifier.
+    pub flow: FlowId,
+    service: ServiceId,
+    name: String,
+    route: Route,
+    settings: CallerSettings,
+    clock: Clock,
+    commands: mpsc::Sender<Command>,
+    /// Whether an answer showed that the flow is open.
+    established: bool,
+    /// The next request.
+    next: u64,
+}
+
+impl Flow {
+    /// Makes a request and waits for its end. The answer is checked part by part.
+    pub async fn request(&mut self, order: Order) -> Result<Ending, Error> {
+        let kind = match self.established {
+            true => PacketKind::Request,
+            false => PacketKind::Open,
+        };
+        let packet = self.packet(kind, RequestId(self.next), &order);
+        self.next += 1;
+        let started = Instant::now();
+        let ending = self.attempt(&order, packet.clone(), started).await?;
+        self.established = match ending {
+            Ending::Answered { .. } => true,
+            Ending::Reset(_) => false,
+            Ending::Refused(_) | Ending::Unknown(_) => self.established,
+            Ending::GivenUp | Ending::Silence { .. } => self.established,
+        };
+        let ended = Command::Ended(packet.flow, packet.request, ending, started.elapsed());
+        self.send(ended).await?;
+        Ok(ending)
+    }
+
+    /// Sends the request until it ends or all attempts were silent.
+    async fn attempt(
+        &self,
+        order: &Order,
+        mut packet: Packet,
+        started: Instant,
+    ) -> Result<Ending, Error> {
+        // Holds all parts of a long answer, so that the caller's task never waits for this one.
+        let (sender, mut packets) = mpsc::channel(4096);
+        let wanted = Command::Await(packet.flow, packet.request, sender);
+        self.send(wanted).await?;
+        let mut answer = Answer::default();
+        loop {
+            self.send(Command::Send(packet.clone())).await?;
+            let limit = order.give_up.map(|give_up| started + give_up);
+            let ending = self.collect(&mut answer, &mut packets, limit).await?;
+            if ending == Ending::GivenUp {
+                packet.kind = PacketKind::Cancel;
+                packet.payload = Bytes::new();
+                self.send(Command::Send(packet)).await?;
+                return Ok(ending);
+            }
+            let silent = matches!(ending, Ending::Silence { .. });
+            let expired = packet.deadline.is_some_and(|d| d <= self.clock.now());
+            let last = packet.attempt + 1 >= self.settings.attempts;
+            if !silent || !order.idempotent || expired || last {
+                return Ok(ending);
+            }
+            packet.attempt += 1;
+        }
+    }
+
+    /// Sends data that starts no request and has no answer.
+    pub async fn data(&self) -> Result<(), Error> {
+        let packet = self.packet(PacketKind::Data, RequestId::default(), &Order::default());
+        self.send(Command::Send(packet)).await
+    }
+
+    /// Ends the flow.
+    pub async fn close(self) -> Result<(), Error> {
+        let packet = self.packet(PacketKind::Close, RequestId::default(), &Order::default());
+        self.send(Command::Send(packet)).await
+    }
+
+    async fn send(&self, command: Command) -> Result<(), Error> {
+        let sent = self.commands.send(command).await;
+        sent.map_err(|_| Error::Closed)
+    }
+
+    fn packet(&self, kind: PacketKind, request: RequestId, order: &Order) -> Packet {
+        Packet {
+            service: self.service,
+            flow: self.flow,
+            kind,
+            request,
+            attempt: 0,
+            idempotent: order.idempotent,
+            deadline: order.deadline.map(|deadline| self.clock.now() + deadline),
+            part: 0,
+            last: false,
+            reason: None,
+            route: self.route,
+            payload: order.work.encode(),
+        }
+    }
+
+    /// Takes packets until the request ends, none arrives in time or the caller gives up.
+    async fn collect(
+        &self,
+        answer: &mut Answer,
+        packets: &mut mpsc::Receiver<Packet>,
+        give_up: Option<Instant>,
+    ) -> Result<Ending, Error> {
+        loop {
+            let patience = Instant::now() + self.settings.patience;
+            let limit = give_up.map_or(patience, |give_up| give_up.min(patience));
+            let Ok(packet) = timeout_at(limit, packets.recv()).await else {
+                let parts = answer.parts.len() as u32;
+                return Ok(match limit == patience {
+                    true => Ending::Silence { parts },
+                    false => Ending::GivenUp,
+                });
+            };
+            let packet = packet.ok_or(Error::Closed)?;
+            match packet.kind {
+                PacketKind::Answer => match self.check(&packet) {
+                    Some(body) => answer.take(&packet, body),
+                    None => self.send(Command::Foreign).await?,
+                },
+                PacketKind::Refused => return Ok(Ending::Refused(packet.reason)),
+                PacketKind::Unknown => return Ok(Ending::Unknown(packet.reason)),
+                PacketKind::Reset => return Ok(Ending::Reset(packet.reason)),
+                PacketKind::Open
+                | PacketKind::Request
+                | PacketKind::Data
+                | PacketKind::Cancel
+                | PacketKind::Close => self.send(Command::Foreign).await?,
+            }
+            if let Some(ending) = answer.ending() {
+                return Ok(ending);
+            }
+        }
+    }
+
+    /// Returns the body if it says that it is this part of the answer to this request.
+    fn check(&self, packet: &Packet) -> Option<Body> {
+        let body = Body::decode(&packet.payload)?;
+        let same = body.service == self.name
+            && body.flow == packet.flow
+            && body.request == packet.request
+            && body.part == packet.part
+            && packet.last == (body.part + 1 == body.parts);
+        same.then_some(body)
+    }
+}
+
+/// The parts of an answer that arrived, in any order.
+#[derive(Default)]
+struct Answer {
+    parts: std::collections::BTreeSet<u32>,
+    /// How many parts there are, once the last one arrived.
+    total: Option<u32>,
+    server: BackendServerId,
+}
+
+impl Answer {
+    fn take(&mut self, packet: &Packet, body: Body) {
+        if body.server != self.server {
+            // Parts of different runs do not make one answer.
+            *self = Answer {
+                server: body.server,
+                ..Answer::default()
+            };
+        }
+        self.parts.insert(packet.part);
+        if packet.last {
+            self.total = Some(packet.part + 1);
+        }
+    }
+
+    fn ending(&self) -> Option<Ending> {
+        let total = self.total?;
+        let server = self.server;
+        let whole = self.parts.len() as u32 == total;
+        whole.then_some(Ending::Answered {
+            server,
+            parts: total,
+        })
+    }
+}
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -1,7 +1,26 @@
 //! Stand-ins for fabric, callers, backend servers and the platform.
 
+pub mod backend_server;
+pub mod caller;
+mod caller_task;
 mod cases;
 pub mod consumer;
 pub mod error;
+pub mod fabric;
+pub mod peer;
+mod server_calls;
+mod server_task;
+pub mod work;
 
+pub use backend_server::BackendServer;
+pub use caller::{
+    Caller,
+    Ending,
+    Flow, //
+};
 pub use error::Error;
+pub use fabric::Fabric;
+pub use work::{
+    Body,
+    Work, //
+};
--- /dev/null
+++ b/stand-ins/src/server_task.rs
@@ -0,0 +1,446 @@
+//! The task of the stand-in backend server.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet,
+    HashMap,
+    HashSet,
+    VecDeque, //
+};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lovagespindle_datagram::{
+    Clock,
+    Datagram,
+    Sender, //
+};
+use lovagespindle_decisions::Time;
+use lovagespindle_decisions::event::LoadReport;
+use lovagespindle_decisions::ids::FlowId;
+use lovagespindle_decisions::packet::{
+    Packet,
+    PacketKind,
+    Reason, //
+};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use crate::backend_server::{
+    Change,
+    Command,
+    ServerReport,
+    ServerSettings,
+    Telling, //
+};
+use crate::work::{
+    Body,
+    Work, //
+};
+
+/// How many past loads are kept for a lagging endpoint.
+const PAST: usize = 4096;
+
+/// A request that runs.
+struct Run {
+    packet: Packet,
+    work: Work,
+    /// The next part of the answer.
+    part: u32,
+    /// When to act next: the key of the run in `due`.
+    due: Time,
+}
+
+pub(crate) struct Task {
+    settings: ServerSettings,
+    socket: Arc<UdpSocket>,
+    sender: Sender,
+    inbox: mpsc::Receiver<Command>,
+    clock: Clock,
+    /// Open flows, with the address that sent the latest packet of each. Answers go there, so
+    /// that they find a new owner as soon as it sent a packet.
+    flows: HashMap<FlowId, SocketAddr>,
+    runs: BTreeMap<u64, Run>,
+    /// When each run has to act next.
+    due: BTreeSet<(Time, u64)>,
+    next: u64,
+    /// How many requests the server bears; its slots once it is warm.
+    bears: u32,
+    /// Requests finished since `bears` changed.
+    clean: u32,
+    draining: bool,
+    silent: bool,
+    /// When a server that fell over starts again.
+    down: Option<Time>,
+    silenced: HashSet<FlowId>,
+    health: Telling<bool>,
+    load: Telling<LoadReport>,
+    past: VecDeque<(Time, LoadReport)>,
+    report: ServerReport,
+}
+
+impl Task {
+    pub(crate) fn new(
+        settings: ServerSettings,
+        socket: UdpSocket,
+        inbox: mpsc::Receiver<Command>,
+    ) -> Task {
+        let clock = Clock::start();
+        let socket = Arc::new(socket);
+        Task {
+            sender: Sender::new(socket.clone(), clock),
+            socket,
+            inbox,
+            clock,
+            flows: HashMap::new(),
+            runs: BTreeMap::new(),
+            due: BTreeSet::new(),
+            next: 0,
+            bears: if settings.cold { 1 } else { settings.slots },
+            clean: 0,
+            draining: false,
+            silent: false,
+            down: None,
+            silenced: HashSet::new(),
+            health: Telling::Truth,
+            load: Telling::Truth,
+            past: VecDeque::new(),
+            report: ServerReport {
+                boot: settings.boot,
+                ..ServerReport::default()
+            },
+            settings,
+        }
+    }
+
+    pub(crate) async fn run(mut self) {
+        let mut buffer = [0; 2048];
+        loop {
+            let due = self.due.first().map(|(due, _)| *due);
+            let next = due.into_iter().chain(self.down).min();
+            let wake = self.clock.instant(next.unwrap_or(Time::ZERO));
+            let socket = self.socket.clone();
+            tokio::select! {
+                command = self.inbox.recv() => match command {
+                    Some(command) => self.obey(command),
+                    None => return,
+                },
+                received = socket.recv_from(&mut buffer) => if let Ok((length, source)) = received {
+                    self.receive(&buffer[..length], source).await;
+                },
+                () = tokio::time::sleep_until(wake), if next.is_some() => {}
+            }
+            let now = self.clock.now();
+            self.recover(now);
+            self.act(now).await;
+            self.remember(now);
+        }
+    }
+
+    fn obey(&mut self, command: Command) {
+        match command {
+            Command::Change(change, done) => {
+                self.apply(change);
+                let _ = done.send(());
+            }
+            Command::Report(sender) => {
+                let _ = sender.send(self.report());
+            }
+            // A dropped sender leaves the call open.
+            Command::Health(_) | Command::Load(_) if self.is_silent() => {}
+            Command::Health(sender) => {
+                let _ = self.told_health().map(|health| sender.send(health));
+            }
+            Command::Load(sender) => {
+                let _ = self.told_load().map(|load| sender.send(load));
+            }
+        }
+    }
+
+    fn apply(&mut self, change: Change) {
+        match change {
+            Change::Drain(draining) => self.draining = draining,
+            Change::Restart { cold } => self.restart(cold),
+            Change::Silence(silent) => self.silent = silent,
+            Change::SilenceFlows => self.silenced.extend(self.flows.keys()),
+            Change::TellHealth(telling) => self.health = telling,
+            Change::TellLoad(telling) => self.load = telling,
+        }
+    }
+
+    fn is_silent(&self) -> bool {
+        self.silent || self.down.is_some()
+    }
+
+    fn running(&self) -> u32 {
+        self.runs.len() as u32
+    }
+
+    fn report(&self) -> ServerReport {
+        ServerReport {
+            running: self.running(),
+            flows: self.flows.len() as u32,
+            ..self.report.clone()
+        }
+    }
+
+    fn told_health(&self) -> Option<bool> {
+        match self.health {
+            Telling::Truth | Telling::Lag(_) => Some(!self.draining),
+            Telling::Always(health) => Some(health),
+            Telling::Nothing => None,
+        }
+    }
+
+    fn told_load(&self) -> Option<LoadReport> {
+        match self.load {
+            Telling::Truth => Some(self.true_load()),
+            Telling::Lag(lag) => Some(self.past_load(lag)),
+            Telling::Always(load) => Some(load),
+            Telling::Nothing => None,
+        }
+    }
+
+    fn true_load(&self) -> LoadReport {
+        LoadReport {
+            requests: self.running(),
+            flows: self.flows.len() as u32,
+            boot: self.report.boot,
+        }
+    }
+
+    /// Returns the load some time ago, or the oldest that is known.
+    fn past_load(&self, lag: Duration) -> LoadReport {
+        let then = self.clock.now() - lag;
+        let past = self.past.iter();
+        let load = past.rev().find(|(time, _)| *time <= then);
+        let load = load.or(self.past.front());
+        load.map_or(self.true_load(), |(_, load)| *load)
+    }
+
+    /// Notes the present load for [`Task::past_load`].
+    fn remember(&mut self, now: Time) {
+        let load = self.true_load();
+        if self.past.back().is_some_and(|(_, last)| *last == load) {
+            return;
+        }
+        if self.past.len() == PAST {
+            self.past.pop_front();
+        }
+        self.past.push_back((now, load));
+    }
+
+    fn restart(&mut self, cold: bool) {
+        self.report.lost += self.runs.len() as u64;
+        self.report.boot += 1;
+        self.runs.clear();
+        self.due.clear();
+        self.flows.clear();
+        self.silenced.clear();
+        self.bears = if cold { 1 } else { self.settings.slots };
+        self.clean = 0;
+        self.down = None;
+    }
+
+    /// Starts the server again once it has been down for long enough.
+    fn recover(&mut self, now: Time) {
+        if self.down.is_some_and(|end| end <= now) {
+            self.restart(true);
+        }
+    }
+
+    async fn receive(&mut self, bytes: &[u8], source: SocketAddr) {
+        let now = self.clock.now();
+        self.recover(now);
+        if self.is_silent() {
+            return;
+        }
+        let datagram = Datagram::decode(bytes, &self.settings.services, now);
+        let Ok(packet) = datagram.and_then(Datagram::from_caller) else {
+            self.report.malformed += 1;
+            return;
+        };
+        if self.silenced.contains(&packet.flow) {
+            return;
+        }
+        if let Some(latest) = self.flows.get_mut(&packet.flow) {
+            *latest = source;
+        }
+        match packet.kind {
+            PacketKind::Open => self.open(now, packet, source).await,
+            PacketKind::Request | PacketKind::Data if !self.flows.contains_key(&packet.flow) => {
+                self.reply(&packet, PacketKind::Reset, Reason::UnknownFlow, source)
+                    .await;
+            }
+            PacketKind::Request => self.start(now, packet, source).await,
+            PacketKind::Cancel => self.cancel(&packet),
+            PacketKind::Close => self.close(packet.flow),
+            PacketKind::Data
+            | PacketKind::Answer
+            | PacketKind::Refused
+            | PacketKind::Unknown
+            | PacketKind::Reset => {}
+        }
+    }
+
+    async fn reply(&mut self, packet: &Packet, kind: PacketKind, reason: Reason, to: SocketAddr) {
+        self.sender
+            .send(to, &packet.reply(kind, reason), None)
+            .await;
+    }
+
+    async fn open(&mut self, now: Time, packet: Packet, source: SocketAddr) {
+        let known = self.flows.contains_key(&packet.flow);
+        let full = self.flows.len() >= self.settings.connections as usize;
+        if !known && (self.draining || full) {
+            self.report.refused += 1;
+            let reason = if full {
+                Reason::Overload
+            } else {
+                Reason::Shutdown
+            };
+            self.reply(&packet, PacketKind::Refused, reason, source)
+                .await;
+            return;
+        }
+        self.flows.insert(packet.flow, source);
+        self.start(now, packet, source).await;
+    }
+
+    async fn start(&mut self, now: Time, packet: Packet, source: SocketAddr) {
+        if packet.deadline.is_some_and(|deadline| deadline <= now) {
+            self.report.expired += 1;
+            self.reply(&packet, PacketKind::Refused, Reason::Deadline, source)
+                .await;
+            return;
+        }
+        if self.running() >= self.settings.slots {
+            self.report.shed += 1;
+            self.reply(&packet, PacketKind::Refused, Reason::Shed, source)
+                .await;
+            return;
+        }
+        let key = (packet.flow, packet.request);
+        *self.report.executions.entry(key).or_default() += 1;
+        let work = Work::decode(&packet.payload).unwrap_or_default();
+        let run = Run {
+            due: now + work.run,
+            packet,
+            work,
+            part: 0,
+        };
+        self.put(run);
+        self.report.peak = self.report.peak.max(self.running());
+        if self.running() > 2 * self.bears {
+            self.fall(now);
+        }
+    }
+
+    /// Keeps a run until it is due or its deadline passes, whichever is first.
+    fn put(&mut self, mut run: Run) {
+        run.due = run.packet.deadline.map_or(run.due, |d| d.min(run.due));
+        self.due.insert((run.due, self.next));
+        self.runs.insert(self.next, run);
+        self.next += 1;
+    }
+
+    fn fall(&mut self, now: Time) {
+        self.report.falls += 1;
+        self.report.lost += self.runs.len() as u64;
+        self.runs.clear();
+        self.due.clear();
+        self.down = Some(now + self.settings.fall);
+    }
+
+    fn cancel(&mut self, packet: &Packet) {
+        let same =
+            |run: &Run| run.packet.flow == packet.flow && run.packet.request == packet.request;
+        self.report.cancelled += self.remove(same);
+    }
+
+    fn close(&mut self, flow: FlowId) {
+        self.flows.remove(&flow);
+        self.report.cancelled += self.remove(|run| run.packet.flow == flow);
+    }
+
+    /// Removes the runs that match and returns how many they were.
+    fn remove(&mut self, matches: impl Fn(&Run) -> bool) -> u64 {
+        let before = self.runs.len();
+        self.runs.retain(|_, run| !matches(run));
+        let runs = &self.runs;
+        self.due.retain(|(_, key)| runs.contains_key(key));
+        (before - self.runs.len()) as u64
+    }
+
+    /// Does what is due.
+    async fn act(&mut self, now: Time) {
+        while let Some(&(due, key)) = self.due.first() {
+            if due > now {
+                return;
+            }
+            self.due.pop_first();
+            if let Some(run) = self.runs.remove(&key) {
+                self.advance(now, run).await;
+            }
+        }
+    }
+
+    /// Sends the next parts of an answer, or ends the run because its deadline passed.
+    async fn advance(&mut self, now: Time, mut run: Run) {
+        let to = self.flows.get(&run.packet.flow).copied();
+        let to = to.filter(|_| !self.silent && !self.silenced.contains(&run.packet.flow));
+        if run.packet.deadline.is_some_and(|deadline| deadline <= now) {
+            self.report.expired += 1;
+            if let Some(to) = to {
+                self.reply(&run.packet, PacketKind::Unknown, Reason::Deadline, to)
+                    .await;
+            }
+            return;
+        }
+        loop {
+            if let Some(to) = to {
+                let part = self.part(&run);
+                self.sender.send(to, &part, None).await;
+            }
+            run.part += 1;
+            if run.part >= run.work.parts {
+                self.finish();
+                return;
+            }
+            if !run.work.pace.is_zero() {
+                run.due = run.due + run.work.pace;
+                self.put(run);
+                return;
+            }
+        }
+    }
+
+    fn part(&self, run: &Run) -> Packet {
+        let body = Body {
+            service: self.settings.service.clone(),
+            flow: run.packet.flow,
+            request: run.packet.request,
+            part: run.part,
+            parts: run.work.parts,
+            server: self.settings.server,
+        };
+        Packet {
+            kind: PacketKind::Answer,
+            deadline: None,
+            part: run.part,
+            last: run.part + 1 == run.work.parts,
+            payload: body.encode(run.work.size),
+            ..run.packet.clone()
+        }
+    }
+
+    fn finish(&mut self) {
+        self.report.finished += 1;
+        self.clean += 1;
+        if self.clean >= self.bears {
+            self.bears = (2 * self.bears).min(self.settings.slots);
+            self.clean = 0;
+        }
+    }
+}
--- /dev/null
+++ b/stand-ins/tests/common/mod.rs
@@ -0,0 +1,107 @@
+//! A fabric with one backend server in the place of an instance, and a caller.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lovagespindle_datagram::Services;
+use lovagespindle_decisions::ids::ServiceId;
+use lovagespindle_stand_ins::backend_server::ServerSettings;
+use lovagespindle_stand_ins::caller::{
+    CallerSettings,
+    Order, //
+};
+use lovagespindle_stand_ins::peer::PATIENCE;
+use lovagespindle_stand_ins::{
+    BackendServer,
+    Caller,
+    Fabric,
+    Flow,
+    Work, //
+};
+
+pub(crate) const NAME: &str = "order-desk";
+
+pub(crate) fn address() -> SocketAddr {
+    "198.51.100.7:80".parse().unwrap()
+}
+
+pub(crate) fn services() -> Services {
+    [(address(), ServiceId(7))].into_iter().collect()
+}
+
+pub(crate) fn settings() -> ServerSettings {
+    ServerSettings {
+        service: NAME.to_owned(),
+        services: services(),
+        ..ServerSettings::default()
+    }
+}
+
+pub(crate) struct Setup {
+    pub(crate) fabric: Fabric,
+    pub(crate) server: BackendServer,
+    pub(crate) caller: Caller,
+}
+
+impl Setup {
+    pub(crate) async fn start(settings: ServerSettings) -> Setup {
+        let fabric = Fabric::start(1).await.unwrap();
+        let server = BackendServer::start(settings).await.unwrap();
+        fabric.set_instances(&[server.address]).await.unwrap();
+        let caller = caller(&fabric, 1).await;
+        Setup {
+            fabric,
+            server,
+            caller,
+        }
+    }
+
+    pub(crate) fn flow(&mut self) -> Flow {
+        self.caller.flow(address(), NAME).unwrap()
+    }
+}
+
+/// Asks again and again until the answer has a property.
+pub(crate) async fn until<T, F: Future<Output = T>>(
+    ask: impl Fn() -> F,
+    holds: impl Fn(&T) -> bool,
+) -> T {
+    let asked = async {
+        loop {
+            let answer = ask().await;
+            if holds(&answer) {
+                return answer;
+            }
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, asked).await.unwrap()
+}
+
+pub(crate) async fn caller(fabric: &Fabric, seed: u64) -> Caller {
+    let settings = CallerSettings {
+        fabric: fabric.front,
+        services: services(),
+        patience: Duration::from_millis(300),
+        attempts: 3,
+        seed,
+    };
+    Caller::start(settings).await.unwrap()
+}
+
+/// A request that runs for some milliseconds and is sent once.
+pub(crate) fn once(millis: u64) -> Order {
+    Order {
+        work: Work::for_millis(millis),
+        ..Order::default()
+    }
+}
+
+/// A request that runs for some milliseconds and may be repeated.
+pub(crate) fn again(millis: u64) -> Order {
+    Order {
+        idempotent: true,
+        ..once(millis)
+    }
+}
--- /dev/null
+++ b/stand-ins/tests/fabric_tests.rs
@@ -0,0 +1,234 @@
+//! What tests rely on when they use the stand-in fabric, and what the caller checks.
+
+#![allow(clippy::unwrap_used)] // clippy.toml covers only functions marked as tests.
+
+mod common;
+
+use bytes::Bytes;
+use common::{
+    NAME,
+    Setup,
+    address,
+    again,
+    caller,
+    once,
+    settings,
+    until, //
+};
+use lovagespindle_decisions::ids::{
+    BackendServerId,
+    FlowId,
+    RequestId, //
+};
+use lovagespindle_decisions::packet::{
+    Packet,
+    PacketKind, //
+};
+use lovagespindle_stand_ins::peer::Peer;
+use lovagespindle_stand_ins::{
+    Body,
+    Caller,
+    Ending,
+    Fabric,
+    Flow,
+    cases, //
+};
+
+/// Guards against instances that get no share, or get packets after they were removed.
+async fn sprays() {
+    let fabric = Fabric::start(7).await.unwrap();
+    let instances = [Peer::open().await, Peer::open().await, Peer::open().await];
+    let [a, b, c] = instances.map(Result::unwrap);
+    let all = [a.address, b.address, c.address];
+    fabric.set_instances(&all).await.unwrap();
+    let mut caller = caller(&fabric, 1).await;
+    let flow = caller.flow(address(), NAME).unwrap();
+    let mut counts = [0; 3];
+    // In rounds, because the operating system may queue no more than about 270 packets.
+    for _ in 0..6 {
+        let round = spray(&flow, [&a, &b, &c], 50).await;
+        counts = std::array::from_fn(|i| counts[i] + round[i]);
+    }
+    assert!(counts.iter().all(|n| (70..130).contains(n)), "{counts:?}");
+    fabric.set_instances(&all[..1]).await.unwrap();
+    assert_eq!(spray(&flow, [&a, &b, &c], 50).await, [50, 0, 0]);
+    let report = fabric.report().await.unwrap();
+    assert_eq!((report.forwarded, report.dropped), (350, 0));
+}
+
+/// Sends packets and returns how many each instance received, once all have arrived.
+async fn spray(flow: &Flow, instances: [&Peer; 3], packets: usize) -> [usize; 3] {
+    for _ in 0..packets {
+        flow.data().await.unwrap();
+    }
+    let mut counts = [0; 3];
+    while counts.iter().sum::<usize>() < packets {
+        let index = tokio::select! {
+            packet = instances[0].receive() => packet.map(|_| 0),
+            packet = instances[1].receive() => packet.map(|_| 1),
+            packet = instances[2].receive() => packet.map(|_| 2),
+        };
+        counts[index.unwrap()] += 1;
+    }
+    counts
+}
+
+/// Guards against packets that vanish without a count while there is no instance.
+async fn counts_drops() {
+    let fabric = Fabric::start(7).await.unwrap();
+    let mut caller = caller(&fabric, 1).await;
+    caller.flow(address(), NAME).unwrap().data().await.unwrap();
+    let report = || async { fabric.report().await.unwrap() };
+    until(report, |report| report.dropped == 1).await;
+}
+
+/// Guards against answers that go to another caller.
+async fn returns_to_the_caller() {
+    let mut setup = Setup::start(settings()).await;
+    let mut other = caller(&setup.fabric, 2).await;
+    for _ in 0..20 {
+        let mut mine = setup.flow();
+        let mut theirs = other.flow(address(), NAME).unwrap();
+        let (a, b) = tokio::join!(mine.request(once(1)), theirs.request(once(1)));
+        assert!(matches!(a.unwrap(), Ending::Answered { .. }));
+        assert!(matches!(b.unwrap(), Ending::Answered { .. }));
+    }
+    assert_eq!(setup.server.report().await.unwrap().finished, 40);
+    for caller in [&setup.caller, &other] {
+        let report = caller.report().await.unwrap();
+        assert_eq!((report.foreign, report.late, report.answered), (0, 0, 20));
+    }
+}
+
+fn body(packet: &Packet, part: u32, parts: u32) -> Body {
+    Body {
+        service: NAME.to_owned(),
+        flow: packet.flow,
+        request: packet.request,
+        part,
+        parts,
+        server: BackendServerId(1),
+    }
+}
+
+fn answer(packet: &Packet, body: &Body) -> Packet {
+    Packet {
+        kind: PacketKind::Answer,
+        part: body.part,
+        last: body.part + 1 == body.parts,
+        payload: body.encode(0),
+        ..packet.clone()
+    }
+}
+
+/// Sends a request to an instance that answers it by hand; returns how it ended and the caller.
+async fn answered_by(answers: impl Fn(&Packet) -> Vec<Packet>) -> (Ending, Caller) {
+    let fabric = Fabric::start(7).await.unwrap();
+    let instance = Peer::open().await.unwrap();
+    fabric.set_instances(&[instance.address]).await.unwrap();
+    let mut caller = caller(&fabric, 1).await;
+    let mut flow = caller.flow(address(), NAME).unwrap();
+    let respond = async {
+        let packet = instance.receive().await.unwrap();
+        for answer in answers(&packet) {
+            instance.send(fabric.back, &answer).await.unwrap();
+        }
+    };
+    let (ending, ()) = tokio::join!(flow.request(once(0)), respond);
+    (ending.unwrap(), caller)
+}
+
+/// Guards against an answer that a caller takes for its own although it is not.
+async fn refuses_foreign(change: impl Fn(&mut Body)) {
+    let (ending, caller) = answered_by(|packet| {
+        let mut body = body(packet, 0, 1);
+        change(&mut body);
+        let payload = body.encode(0);
+        vec![Packet {
+            payload,
+            ..answer(packet, &self::body(packet, 0, 1))
+        }]
+    })
+    .await;
+    assert_eq!(ending, Ending::Silence { parts: 0 });
+    assert_eq!(caller.report().await.unwrap().foreign, 1);
+}
+
+/// Guards against an answer without a readable body that counts as an answer.
+async fn refuses_garbage() {
+    let (ending, caller) = answered_by(|packet| {
+        let payload = Bytes::from_static(b"\xff");
+        let body = body(packet, 0, 1);
+        vec![Packet {
+            payload,
+            ..answer(packet, &body)
+        }]
+    })
+    .await;
+    assert_eq!(ending, Ending::Silence { parts: 0 });
+    assert_eq!(caller.report().await.unwrap().foreign, 1);
+}
+
+/// Guards against a caller that takes a partial answer for the whole.
+async fn misses_a_part() {
+    let (ending, _) = answered_by(|packet| {
+        let parts = [0, 2].map(|part| body(packet, part, 3));
+        parts.iter().map(|body| answer(packet, body)).collect()
+    })
+    .await;
+    assert_eq!(ending, Ending::Silence { parts: 2 });
+}
+
+/// Guards against a caller that depends on the order of parts or is confused by repeated ones.
+async fn takes_any_order() {
+    let (ending, caller) = answered_by(|packet| {
+        let parts = [2, 0, 0, 1].map(|part| body(packet, part, 3));
+        parts.iter().map(|body| answer(packet, body)).collect()
+    })
+    .await;
+    assert!(matches!(ending, Ending::Answered { parts: 3, .. }));
+    assert_eq!(caller.report().await.unwrap().foreign, 0);
+}
+
+/// Guards against a stray answer that is taken for that of another request.
+async fn drops_late_answers() {
+    let (ending, caller) = answered_by(|packet| {
+        let mut stray = packet.clone();
+        stray.request = RequestId(77);
+        let bodies = [body(&stray, 0, 1), body(packet, 0, 1)];
+        vec![answer(&stray, &bodies[0]), answer(packet, &bodies[1])]
+    })
+    .await;
+    assert!(matches!(ending, Ending::Answered { parts: 1, .. }));
+    assert_eq!(caller.report().await.unwrap().late, 1);
+}
+
+/// Guards against a caller that repeats with the attempt unchanged.
+async fn raises_attempts() {
+    let fabric = Fabric::start(7).await.unwrap();
+    let instance = Peer::open().await.unwrap();
+    fabric.set_instances(&[instance.address]).await.unwrap();
+    let mut caller = caller(&fabric, 1).await;
+    let mut flow = caller.flow(address(), NAME).unwrap();
+    flow.request(again(0)).await.unwrap();
+    for attempt in 0..3 {
+        let packet = instance.receive().await.unwrap();
+        assert_eq!((packet.kind, packet.attempt), (PacketKind::Open, attempt));
+    }
+}
+
+cases! {
+    async
+    packets_are_sprayed_evenly => sprays();
+    packets_without_instance_are_counted => counts_drops();
+    answers_return_to_their_caller => returns_to_the_caller();
+    other_service_is_foreign => refuses_foreign(|body| body.service = "proof-room".to_owned());
+    other_flow_is_foreign => refuses_foreign(|body| body.flow = FlowId(1));
+    other_request_is_foreign => refuses_foreign(|body| body.request = RequestId(5));
+    other_part_is_foreign => refuses_foreign(|body| body.part = 1);
+    unreadable_body_is_foreign => refuses_garbage();
+    missing_part_is_noticed => misses_a_part();
+    parts_may_arrive_in_any_order => takes_any_order();
+    late_answers_are_dropped => drops_late_answers();
+    attempts_rise => raises_attempts();
+}
