--- a/instances/tests/links.rs
+++ b/instances/tests/links.rs
@@ -44,8 +44,10 @@
 use lovagespindle_stand_ins::cases;
 use lovagespindle_stand_ins::consumer::{
     Batches,
+    consumer, //
+};
+use lovagespindle_stand_ins::peer::{
     PATIENCE,
-    consumer,
     localhost, //
 };
 use tokio::net::{
--- a/instances/tests/relay.rs
+++ b/instances/tests/relay.rs
@@ -28,8 +28,10 @@
 use lovagespindle_stand_ins::cases;
 use lovagespindle_stand_ins::consumer::{
     Batches,
+    consumer, //
+};
+use lovagespindle_stand_ins::peer::{
     Peer,
-    consumer,
     localhost,
     packet,
     services, //
