--- a/stand-ins/tests/platform.rs
+++ b/stand-ins/tests/platform.rs
@@ -520,6 +520,27 @@
         };
         assert!(first.revision > Revision(8));
     };
+    /// Guards against a slow writer that goes on without its lease instead of renewing it.
+    snapshot_renews_the_lease_between_parts => {
+        let platform = Platform::start().await.unwrap();
+        // A third of the lease has always passed, so that every part needs a renewal.
+        let writer_lease = Duration::ZERO;
+        let writer = Client::with(Settings { writer_lease, ..settings(&platform) });
+        let mut heads = KeyWatch::open(&platform, keys::HEAD).await;
+        platform.expire_leases_after(keys::WRITER).await.unwrap();
+        let mut next = 1;
+        let head = loop {
+            tokio::select! {
+                biased;
+                head = heads.next() => break decode_head(&head).unwrap(),
+                () = writer.append_all(next..=next) => next += 1,
+            }
+        };
+        let parts = platform.keys("config/snapshot/").await.unwrap();
+        assert_eq!(parts, [keys::part(head.revision, 0)]);
+        assert!(head.revision > Revision(8));
+        assert!(platform.counts().await.unwrap().leases >= 5);
+    };
     /// Guards against two writers of snapshots at the same time.
     snapshot_waits_for_another_writer => {
         let platform = Platform::start().await.unwrap();
