--- /dev/null
+++ b/daemon/tests/fleet/mod.rs
@@ -0,0 +1,247 @@
+//! A fleet of separate daemon processes between stand-ins.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{
+    Child,
+    Command, //
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use lovagespindle_datagram::Services;
+use lovagespindle_decisions::config::Change;
+use lovagespindle_decisions::ids::{
+    BackendServerId,
+    OperationId,
+    Revision,
+    ServiceId, //
+};
+use lovagespindle_operators::client::{
+    Client,
+    Settings, //
+};
+use lovagespindle_operators::messages::ApplyChanges;
+use lovagespindle_stand_ins::backend_server::ServerSettings;
+use lovagespindle_stand_ins::caller::CallerSettings;
+use lovagespindle_stand_ins::platform::Platform;
+use lovagespindle_stand_ins::{
+    BackendServer,
+    Caller,
+    Fabric, //
+};
+
+pub(crate) const ZONES: [&str; 3] = ["nz-north-a", "nz-north-b", "nz-north-c"];
+pub(crate) const SERVICE: &str = "ticket-desk";
+pub(crate) const ADDRESS: ([u8; 4], u16) = ([198, 51, 100, 7], 80);
+
+/// How long the fleet may take to agree on something.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// One daemon process; killed when dropped.
+pub(crate) struct Daemon {
+    pub(crate) process: Child,
+    pub(crate) callers: SocketAddr,
+    pub(crate) operators: SocketAddr,
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // Fails only if it has ended already.
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+/// Three daemons in three zones, and two backend servers in each zone.
+pub(crate) struct Fleet {
+    pub(crate) platform: Platform,
+    pub(crate) fabric: Fabric,
+    pub(crate) servers: Vec<BackendServer>,
+    pub(crate) daemons: Vec<Daemon>,
+    pub(crate) client: Client,
+    network: u8,
+    operation: u128,
+}
+
+impl Fleet {
+    /// Starts a fleet; `network` keeps the addresses of fleets apart that run at the same time.
+    pub(crate) async fn start(network: u8) -> Fleet {
+        let platform = Platform::start().await.unwrap();
+        let fabric = Fabric::start(u64::from(network)).await.unwrap();
+        let mut servers = Vec::new();
+        for n in 0..6 {
+            servers.push(BackendServer::start(server_settings(n)).await.unwrap());
+        }
+        let mut fleet = Fleet {
+            platform,
+            fabric,
+            servers,
+            daemons: Vec::new(),
+            client: Client::new(Vec::new(), Settings::default()),
+            network,
+            operation: 0,
+        };
+        for (n, zone) in ZONES.iter().enumerate() {
+            let daemon = fleet.spawn(n as u8 + 1, zone);
+            fleet.daemons.push(daemon);
+        }
+        fleet.refresh().await;
+        let changes = fleet.changes();
+        fleet.apply(changes).await;
+        fleet
+    }
+
+    /// Starts a daemon process at the `host`th address of the fleet's network.
+    pub(crate) fn spawn(&self, host: u8, zone: &str) -> Daemon {
+        let address = |port| SocketAddr::from(([127, 77, self.network, host], port));
+        let name = format!("instance-{}-{host}", self.network);
+        let text = format!(
+            "[instance]\nname = \"{name}\"\nzone = \"{zone}\"\ncontrol = \"{}\"\nrelay = \"{}\"\n\
+             [callers]\nlisten = \"{}\"\nfabric = \"{}\"\n\
+             [backend_servers]\nlisten = \"{}\"\n\
+             [operators]\nlisten = \"{}\"\n\
+             [platform]\nendpoint = \"{}\"\n\
+             [log]\nlevel = \"info\"\nfile = \"{}\"\n",
+            address(4720),
+            address(4721),
+            address(4700),
+            self.fabric.back,
+            address(4730),
+            address(4710),
+            self.platform.url(),
+            directory().join(format!("{name}.log")).display(),
+        );
+        let file = directory().join(format!("{name}.toml"));
+        std::fs::write(&file, text).unwrap();
+        let process = Command::new(env!("CARGO_BIN_EXE_lovagespindled"))
+            .arg("--config")
+            .arg(&file)
+            .spawn()
+            .unwrap();
+        Daemon {
+            process,
+            callers: address(4700),
+            operators: address(4710),
+        }
+    }
+
+    /// Tells fabric and operators which daemons there are.
+    pub(crate) async fn refresh(&mut self) {
+        let callers: Vec<_> = self.daemons.iter().map(|d| d.callers).collect();
+        let operators = self.daemons.iter().map(|d| d.operators).collect();
+        self.fabric.set_instances(&callers).await.unwrap();
+        self.client = Client::new(operators, Settings::default());
+    }
+
+    /// Applies changes through any daemon.
+    pub(crate) async fn apply(&mut self, changes: Vec<Change>) -> Revision {
+        self.operation += 1;
+        let call = ApplyChanges {
+            operation: OperationId(self.operation),
+            expected: None,
+            changes,
+        };
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            match self.client.apply(&call).await {
+                Ok(revision) => return revision,
+                Err(error) if Instant::now() < deadline => {
+                    // The daemons may still be starting.
+                    let _ = error;
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+                Err(error) => panic!("configuration was not applied: {error}"),
+            }
+        }
+    }
+
+    fn changes(&self) -> Vec<Change> {
+        let mut changes = vec![Change::PutService {
+            name: SERVICE.to_owned(),
+            address: ADDRESS.into(),
+            idle: Duration::from_secs(60),
+        }];
+        for zone in ZONES {
+            changes.push(Change::CreateZone {
+                name: zone.to_owned(),
+                region: "nz-north".to_owned(),
+            });
+            changes.push(Change::CreatePool {
+                name: format!("pool-{zone}"),
+                service: SERVICE.to_owned(),
+                zone: zone.to_owned(),
+            });
+        }
+        for (n, server) in self.servers.iter().enumerate() {
+            changes.push(Change::PutServer {
+                name: format!("server-{n}"),
+                pool: format!("pool-{}", ZONES[n % 3]),
+                address: server.address,
+                health: server.health,
+                weight: 100,
+                slots: 4,
+                connections: 2000,
+            });
+        }
+        changes
+    }
+
+    /// Waits until each daemon has a revision and owns backend servers that it may admit to.
+    pub(crate) async fn settle(&self, revision: Revision, owned: usize) {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            let mut admitting = 0;
+            let mut behind = 0;
+            for (_, answer) in self.client.status().await {
+                match answer {
+                    Ok((status, _)) if status.revision >= revision => {
+                        admitting += status.owned.iter().filter(|o| !o.fenced).count();
+                    }
+                    _ => behind += 1,
+                }
+            }
+            if behind == 0 && admitting == owned {
+                return;
+            }
+            assert!(
+                Instant::now() < deadline,
+                "{behind} daemons are behind, {admitting} of {owned} backend servers are admitting"
+            );
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Starts a caller behind the fabric.
+    pub(crate) async fn caller(&self, seed: u64) -> Caller {
+        let settings = CallerSettings {
+            fabric: self.fabric.front,
+            services: services(),
+            seed,
+            ..CallerSettings::default()
+        };
+        Caller::start(settings).await.unwrap()
+    }
+}
+
+/// The service is the first object that takes a number.
+fn services() -> Services {
+    [(SocketAddr::from(ADDRESS), ServiceId(0))]
+        .into_iter()
+        .collect()
+}
+
+fn server_settings(n: u32) -> ServerSettings {
+    ServerSettings {
+        server: BackendServerId(n),
+        service: SERVICE.to_owned(),
+        services: services(),
+        ..ServerSettings::default()
+    }
+}
+
+fn directory() -> PathBuf {
+    PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+}
--- a/stand-ins/src/cases.rs
+++ b/stand-ins/src/cases.rs
@@ -3,16 +3,18 @@
 /// Names each case and runs its check; a check after `async` runs on a runtime with two threads.
 #[macro_export]
 macro_rules! cases {
-    ($($name:ident => $check:expr;)*) => {
+    ($($(#[$doc:meta])* $name:ident => $check:expr;)*) => {
         $(
+            $(#[$doc])*
             #[test]
             fn $name() {
                 $check
             }
         )*
     };
-    (async $($name:ident => $check:expr;)*) => {
+    (async $($(#[$doc:meta])* $name:ident => $check:expr;)*) => {
         $(
+            $(#[$doc])*
             #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
             async fn $name() {
                 $check.await
