--- a/scenarios/src/fabric.rs
+++ b/scenarios/src/fabric.rs
@@ -54,7 +54,8 @@
             Action::Watch(on) => self.watch(n, on),
             Action::ReadStore { after } => self.call_store(n, Call::Read(after)),
             Action::ReadList => self.call_store(n, Call::List),
-            Action::Note(_) => {}
+            // Here the platform keeps its list itself.
+            Action::Enlist(_) | Action::Unlist(_) | Action::Note(_) => {}
             Action::Stop => self.end(n, State::Gone),
         }
     }
