--- a/backend-servers/src/servers.rs
+++ b/backend-servers/src/servers.rs
@@ -1,14 +1,14 @@
 //! The backend servers by their addresses.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use lovagespindle_decisions::config::Configuration;
 use lovagespindle_decisions::ids::BackendServerId;
+use rustc_hash::FxHashMap;
 
 /// The backend servers by the addresses that they take packets at and send them from.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Servers(HashMap<SocketAddr, BackendServerId>);
+pub struct Servers(FxHashMap<SocketAddr, BackendServerId>);
 
 impl Servers {
     /// Returns the backend server with this address.
