--- a/operators/src/connection.rs
+++ b/operators/src/connection.rs
@@ -178,7 +178,11 @@
             instance,
             source: std::sync::Arc::new(source),
         };
-        let endpoint = Endpoint::from_shared(format!("http://{instance}")).map_err(unreachable)?;
+        // Without keepalive, a followed time line would never notice that its connection went silent.
+        let endpoint = Endpoint::from_shared(format!("http://{instance}"))
+            .map_err(unreachable)?
+            .http2_keep_alive_interval(timeout)
+            .keep_alive_timeout(timeout);
         let connected = tokio::time::timeout(timeout, endpoint.connect()).await;
         let late = |_| CallError::ConnectTimeout {
             instance,
--- a/operators/src/follow.rs
+++ b/operators/src/follow.rs
@@ -29,17 +29,20 @@
 struct Gone;
 
 /// Sends the entries that one reader wants.
-pub(crate) struct Follower {
-    pub(crate) selection: Selection,
-    pub(crate) configuration: ReplyRecipient<ReadConfiguration, Arc<Configuration>>,
-    pub(crate) sender: mpsc::Sender<Result<v1::FollowResponse, Status>>,
+pub struct Follower {
+    /// Which entries it wants.
+    pub selection: Selection,
+    /// Asked anew whenever a configuration comes into force.
+    pub configuration: ReplyRecipient<ReadConfiguration, Arc<Configuration>>,
+    /// Leads to the reader.
+    pub sender: mpsc::Sender<Result<v1::FollowResponse, Status>>,
     /// Changes when the server stops.
-    pub(crate) stopped: watch::Receiver<()>,
+    pub stopped: watch::Receiver<()>,
 }
 
 impl Follower {
     /// Runs until the reader goes, falls behind, or the server stops.
-    pub(crate) async fn run(mut self, followed: Followed) {
+    pub async fn run(mut self, followed: Followed) {
         let mut stopped = self.stopped.clone();
         tokio::select! {
             _ = self.send_all(followed) => {}
--- a/operators/src/lib.rs
+++ b/operators/src/lib.rs
@@ -5,7 +5,7 @@
 pub mod decode;
 pub mod encode;
 pub mod filter;
-mod follow;
+pub mod follow;
 pub mod generated;
 pub mod messages;
 pub mod names;
--- a/operators/src/server.rs
+++ b/operators/src/server.rs
@@ -3,6 +3,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 
 use kameo::Actor;
 use kameo::actor::{
@@ -58,6 +59,10 @@
 /// itself until the reader is cut off.
 const FOLLOW_QUEUE: usize = 64;
 
+/// How often a connection is checked, and how long the check may take, so that operators whose
+/// connections went silent do not hold sockets and followed time lines for ever.
+const KEEPALIVE: Duration = Duration::from_secs(10);
+
 /// The tasks that answer the calls.
 #[derive(Clone)]
 pub struct Recipients {
@@ -108,6 +113,8 @@
         let _ = stopped.changed().await;
     };
     let served = Server::builder()
+        .http2_keepalive_interval(Some(KEEPALIVE))
+        .http2_keepalive_timeout(Some(KEEPALIVE))
         .add_service(OperatorsServer::new(calls))
         .serve_with_incoming_shutdown(incoming, stop)
         .await;
--- a/operators/tests/fakes/mod.rs
+++ b/operators/tests/fakes/mod.rs
@@ -62,7 +62,11 @@
     Settings,
     TimeLine, //
 };
-use tokio::net::TcpListener;
+use tokio::net::{
+    TcpListener,
+    TcpStream, //
+};
+use tokio::sync::oneshot;
 
 pub type Applied = Result<Revision, ApplyError>;
 
@@ -330,3 +334,19 @@
         connections: 2000,
     }
 }
+
+/// Passes one connection on to `target` until told to fall silent, with the connection left open.
+pub async fn proxy(target: SocketAddr) -> (SocketAddr, oneshot::Sender<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (silence, silenced) = oneshot::channel::<()>();
+    tokio::spawn(async move {
+        let (mut from, _) = listener.accept().await.unwrap();
+        let mut to = TcpStream::connect(target).await.unwrap();
+        tokio::select! {
+            _ = tokio::io::copy_bidirectional(&mut from, &mut to) => {}
+            _ = silenced => std::future::pending().await,
+        }
+    });
+    (address, silence)
+}
--- a/operators/tests/schema.rs
+++ b/operators/tests/schema.rs
@@ -26,6 +26,7 @@
 use lovagespindle_decisions::status::{
     CandidateStatus,
     Explanation,
+    Flag,
     FlowHolding, //
 };
 use lovagespindle_operators::decode;
@@ -239,4 +240,17 @@
         let error = ApplyChanges::try_from(request).unwrap_err();
         assert_eq!(error, DecodeError::Missing { field: "operation" });
     };
+    /// Guards against an event or red flag that the operators' page does not explain.
+    page_explains_all_events_and_flags => {
+        let page = include_str!("../../docs/operations.md");
+        for occurrence in occurrences() {
+            let event: &'static str = occurrence.into();
+            assert!(page.contains(&format!("`{event}`")), "{event}");
+        }
+        let flags: Vec<_> = (0..=u8::MAX).filter_map(Flag::from_repr).collect();
+        assert!(!flags.is_empty());
+        for flag in flags {
+            assert!(page.contains(&format!("| `{flag}` |")), "{flag}");
+        }
+    };
 }
