--- a/cli/src/zone.rs
+++ b/cli/src/zone.rs
@@ -66,16 +66,18 @@
 }
 
 fn list(configuration: &Configuration) -> Report {
-    let zones = configuration.zones.values();
+    // Identifiers of zones are hashes, so that their order tells nothing.
+    let mut zones: Vec<_> = configuration.zones.values().collect();
+    zones.sort_by(|a, b| a.name.cmp(&b.name));
     let rows: Vec<_> = zones
-        .clone()
+        .iter()
         .map(|z| {
             let servers = configuration.zone_servers(z.id).count();
             let (region, state) = (z.region.clone(), z.state.to_string());
             [z.name.clone(), region, state, servers.to_string()]
         })
         .collect();
-    let json = zones.map(|z| {
+    let json = zones.iter().map(|z| {
         json!({
             "id": z.id.0,
             "name": z.name,
