--- a/scenarios/src/fabric.rs
+++ b/scenarios/src/fabric.rs
@@ -54,8 +54,11 @@
             Action::Watch(on) => self.watch(n, on),
             Action::ReadStore { after } => self.call_store(n, Call::Read(after)),
             Action::ReadList => self.call_store(n, Call::List),
-            // Here the platform keeps its list itself.
-            Action::Enlist(_) | Action::Unlist(_) | Action::Note(_) => {}
+            Action::Enlist(listed) => {
+                self.call_store(n, Call::Enlist(listed.member.id, Some(listed)));
+            }
+            Action::Unlist(id) => self.call_store(n, Call::Enlist(id, None)),
+            Action::Note(_) => {}
             Action::Stop => self.end(n, State::Gone),
         }
     }
