--- a/datagram/tests/codec_tests.rs
+++ b/datagram/tests/codec_tests.rs
@@ -31,6 +31,7 @@
     MAX_PAYLOAD,
     Packet,
     PacketKind,
+    Purpose,
     Relay, //
 };
 use lovagespindle_stand_ins::cases;
@@ -193,6 +194,7 @@
 /// Guards against a caller or backend server that steers a packet with the relay TLV.
 fn relay_only_from_instances() {
     let relay = Relay {
+        purpose: Purpose::Find,
         hops: 1,
         candidate: 0,
         table: 0,
@@ -270,9 +272,13 @@
         refuses(|b| write(b, Field::Idempotent, 0, 2), flag(Field::Idempotent, 2));
     last_flag_is_two => refuses(|b| write(b, Field::Part, 4, 2), flag(Field::Part, 2));
     relay_passed_too_many => refuses(
-        |b| insert(b, Field::Relay as u8, &[MAX_HOPS + 1, 0, 0, 0, 0, 0, 1]),
+        |b| insert(b, Field::Relay as u8, &[1, MAX_HOPS + 1, 0, 0, 0, 0, 0, 1]),
         DecodeError::Hops(MAX_HOPS + 1),
     );
+    relay_purpose_is_unknown => refuses(
+        |b| insert(b, Field::Relay as u8, &[9, 0, 0, 0, 0, 0, 0, 1]),
+        DecodeError::UnknownPurpose(9),
+    );
     custom_tlv_is_unknown => refuses(|b| insert(b, 0xe8, &[1]), DecodeError::UnknownTlv(0xe8));
     unique_id_is_short =>
         refuses(|b| { remove(b, Field::UniqueId); insert(b, 5, &[1]) }, length(Field::UniqueId, 1));
--- a/decisions/src/config_plan.rs
+++ b/decisions/src/config_plan.rs
@@ -116,7 +116,13 @@
         if self.zones.find(name).is_some() {
             return Err(exists(Kind::Zone, name));
         }
-        let id = ZoneId(self.take_id()?);
+        let id = ZoneId::of(name);
+        if let Some(other) = self.zones.get(id) {
+            return Err(ConfigError::ZoneHash {
+                name: name.to_owned(),
+                other: other.name.clone(),
+            });
+        }
         let zone = Zone {
             id,
             name: name.to_owned(),
@@ -291,7 +297,11 @@
 
     fn take_id(&mut self) -> Result<u32, ConfigError> {
         let id = self.next_id;
-        self.next_id = id.checked_add(1).ok_or(ConfigError::NoMoreIds)?;
+        // The upper half belongs to availability zones.
+        self.next_id = id
+            .checked_add(1)
+            .filter(|next| *next < ZoneId::MARK)
+            .ok_or(ConfigError::NoMoreIds)?;
         Ok(id)
     }
 
--- a/instances/tests/relay.rs
+++ b/instances/tests/relay.rs
@@ -13,6 +13,7 @@
 use lovagespindle_decisions::ids::BackendServerId;
 use lovagespindle_decisions::packet::{
     PacketKind,
+    Purpose,
     Relay, //
 };
 use lovagespindle_instances::relay::{
@@ -27,14 +28,17 @@
 use lovagespindle_stand_ins::cases;
 use lovagespindle_stand_ins::consumer::{
     Batches,
+    consumer, //
+};
+use lovagespindle_stand_ins::peer::{
     Peer,
-    consumer,
     localhost,
     packet,
     services, //
 };
 
 const RELAY: Relay = Relay {
+    purpose: Purpose::Find,
     hops: 1,
     candidate: 2,
     table: 0,
