Keep an unreachable zone's members until it tells its present ones

Until now a zone that came back counted only its first contact until its members arrived. Where that contact died first, the zone looked empty, and the region's other zones would have taken its backend servers over. Its earlier members now count until the new list arrives; without one the zone stays unreachable and another contact is tried.

--- a/decisions/src/answering.rs
+++ b/decisions/src/answering.rs
@@ -84,6 +84,7 @@
     /// Merges the members of a zone. They are spread only if they are few: then gossip missed
     /// them here, while a whole zone would hold up real news.
     pub(crate) fn pulled(&mut self, now: Time, from: InstanceId, updates: &[MemberUpdate]) {
+        self.begin_return(now, from);
         self.heard(now, from);
         let mut news: SmallVec<[InstanceId; MAX_UPDATES]> = SmallVec::new();
         for &update in updates {
@@ -105,6 +106,18 @@
         }
     }
 
+    /// Makes the members of a zone that comes back doubtful, before those count that `from`
+    /// vouches for: while the zone was unreachable they may have been replaced unnoticed.
+    fn begin_return(&mut self, now: Time, from: InstanceId) {
+        let Some(zone) = self.member(from).map(|m| m.zone) else {
+            return;
+        };
+        if self.zones.iter().any(|z| z.zone == zone && z.returning) {
+            self.members.doubt(now, zone);
+            self.dirty = true;
+        }
+    }
+
     /// Notes that the members of a zone are known; it may have been coming back.
     pub(crate) fn settle(&mut self, zone: ZoneId) {
         let contacts = self.zones.iter_mut().find(|z| z.zone == zone);
@@ -155,12 +168,8 @@
         }
         entry.heard = Some(now);
         let zone = entry.update.member.zone;
-        let contacts = self.zones.iter_mut().find(|z| z.zone == zone);
-        if contacts.is_some_and(|c| c.heard(now)) {
-            // While the zone was unreachable its members may have been replaced unnoticed, so
-            // that only those count that the zone itself vouches for.
-            self.members.doubt(now, zone);
-            self.dirty = true;
+        if let Some(contacts) = self.zones.iter_mut().find(|z| z.zone == zone) {
+            contacts.heard(now);
         }
         if let Some(key) = self.members.key(id) {
             self.members.confirm(key);
--- a/decisions/src/contact.rs
+++ b/decisions/src/contact.rs
@@ -13,7 +13,7 @@
 /// How many contacts are tried at once when the only one goes silent.
 pub(crate) const MAX_CONTACTS: usize = 3;
 
-/// How long to wait for the members of a zone that comes back.
+/// How long to wait for the members of a zone that comes back, before another contact is tried.
 const RETURN: Duration = Duration::from_secs(1);
 
 /// How many times the pause between pulls grows at most.
@@ -30,8 +30,7 @@
     pub(crate) reachable: bool,
     /// Set from the first sign of life of an unreachable zone until its members are known.
     pub(crate) returning: bool,
-    /// When the next attempt on an unreachable zone is due, or when a zone that comes back counts
-    /// as reachable at the latest.
+    /// When the next attempt on an unreachable zone is due.
     pub(crate) retry: Time,
     /// The time between attempts; rises up to its bound while the zone is unreachable.
     interval: Duration,
@@ -82,17 +81,15 @@
         self.ids.clear();
     }
 
-    /// Notes that a member of the zone was heard and returns whether the zone comes back by that.
-    /// It counts as reachable only after [`Contacts::settle`].
-    pub(crate) fn heard(&mut self, now: Time) -> bool {
-        if self.reachable || self.returning {
-            return false;
+    /// Notes that a member of the zone was heard. An unreachable zone begins to come back, and
+    /// counts as reachable after [`Contacts::settle`].
+    pub(crate) fn heard(&mut self, now: Time) {
+        if !self.reachable && !self.returning {
+            self.returning = true;
+            self.retry = now + RETURN;
+            self.pulled = None;
+            self.pulls = 0;
         }
-        self.returning = true;
-        self.retry = now + RETURN;
-        self.pulled = None;
-        self.pulls = 0;
-        true
     }
 
     /// Notes that the members of a zone that comes back are known, and returns whether it was
--- a/decisions/src/members.rs
+++ b/decisions/src/members.rs
@@ -40,7 +40,7 @@
     pub(crate) granted: Option<Time>,
     /// Its configuration, as it said last.
     pub(crate) revision: Revision,
-    /// Set while its zone came back and did not mention it yet; it does not count as live.
+    /// Set when its zone came back without mentioning it; it does not count as live.
     pub(crate) doubtful: bool,
     /// Present while heartbeats go to it.
     pub(crate) watch: Option<Watch>,
--- a/decisions/src/watching.rs
+++ b/decisions/src/watching.rs
@@ -88,10 +88,7 @@
             if self.zones[at].reachable {
                 self.check_reachable(now, at);
             } else if now >= self.zones[at].retry {
-                match self.zones[at].returning {
-                    true => self.settle(self.zones[at].zone),
-                    false => self.retry_zone(now, at),
-                }
+                self.retry_zone(now, at);
             }
         }
     }
--- a/decisions/tests/membership.rs
+++ b/decisions/tests/membership.rs
@@ -130,10 +130,10 @@
     assert!(net.nodes[6].membership.reachable(FAR));
     net.set_cut(&far, &rest, false);
     let healed = net.now;
-    // A zone that is reachable with a part of its members would get all its owners changed.
+    // With a part of its members, a zone would get most of its owners changed.
     let whole = |net: &Net| {
         let mut seen = rest.iter().map(|&n| &net.nodes[n].membership);
-        seen.all(|m| !m.reachable(FAR) || m.live(FAR).len() == 6)
+        seen.all(|m| m.live(FAR).len() == 6)
     };
     while !net.converged() && net.now < healed + Duration::from_secs(10) {
         net.run(1);
