--- a/decisions/src/answering.rs
+++ b/decisions/src/answering.rs
@@ -33,6 +33,7 @@
         } else if self.members.merge(now, update) {
             self.gossip.add(update.member.id);
             self.dirty = true;
+            self.urgent = true;
         } else {
             self.contradict(update);
         }
--- a/decisions/src/instance.rs
+++ b/decisions/src/instance.rs
@@ -1,6 +1,7 @@
 //! The decision state of one instance.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
@@ -100,11 +101,14 @@
     pub(crate) configuration: Arc<Configuration>,
     pub(crate) tables: Tables,
     pub(crate) owners: Owners,
-    /// The membership's generation and the revision that ownership was last computed from.
-    pub(crate) refreshed: Option<(u64, Revision)>,
+    /// The membership's generation, the revision and whether the instance was settled when ownership
+    /// was last computed.
+    pub(crate) refreshed: Option<(u64, Revision, bool)>,
     pub(crate) servers: Servers,
     /// Limits of backend servers that were handed over before this instance knew that it owns them.
     pub(crate) handed: FxHashMap<BackendServerId, (Time, u32)>,
+    /// What other owners last said of their backend servers.
+    pub(crate) limits: FxHashMap<BackendServerId, (Time, LoadShare)>,
     pub(crate) flows: Flows,
     pub(crate) requests: Requests,
     /// Flows whose exception is to be registered with the owner of their first choice.
@@ -119,6 +123,7 @@
     /// When the graceful shutdown began.
     pub(crate) leaving: Option<Time>,
     pub(crate) stopped: bool,
+    pub(crate) loads_sent: Time,
     pub(crate) next_pass: Time,
     pub(crate) next_sweep: Time,
 }
@@ -142,6 +147,7 @@
             refreshed: None,
             servers: Servers::default(),
             handed: FxHashMap::default(),
+            limits: FxHashMap::default(),
             flows: Flows::default(),
             requests: Requests::default(),
             exceptions: Vec::new(),
@@ -153,6 +159,7 @@
             started: false,
             leaving: None,
             stopped: false,
+            loads_sent: Time::ZERO,
             next_pass: Time::ZERO,
             next_sweep: Time::ZERO,
         }
@@ -225,6 +232,7 @@
         };
         self.membership.reply(now, from, &message, &context, out);
         match message {
+            PeerMessage::Heartbeat { loads, .. } => self.on_loads(now, &loads),
             PeerMessage::PullChanges { after } => self.on_pull(from, after, out),
             PeerMessage::Changes { records } => {
                 self.on_records(now, records, out);
@@ -243,6 +251,14 @@
         }
     }
 
+    /// Remembers how much the backend servers of another owner bear, in case this instance has to
+    /// take them over.
+    fn on_loads(&mut self, now: Time, loads: &[LoadShare]) {
+        for load in loads {
+            self.limits.insert(load.backend_server, (now, *load));
+        }
+    }
+
     /// Pulls the rest at once where a pull brought only a part of the missing records.
     fn spread_again(&mut self, now: Time, out: &mut Vec<Action>) {
         if self.spread.is_behind() {
@@ -264,7 +280,15 @@
     }
 
     pub(crate) fn tick_membership(&mut self, now: Time, out: &mut Vec<Action>) {
-        let loads = self.loads();
+        let mut loads = self.loads();
+        // Loads are the largest part of a heartbeat, and not needed in each.
+        if now.since(self.loads_sent) >= LOADS_PERIOD {
+            self.loads_sent = now;
+        }
+        // For one heartbeat period, so that each member that gets heartbeats gets them once.
+        if now.since(self.loads_sent) >= self.settings.membership.heartbeat {
+            loads.clear();
+        }
         let context = Context {
             revision: self.configuration.revision,
             loads: &loads,
@@ -355,6 +379,7 @@
                         candidate.backend_server,
                         candidate.zone,
                         &self.membership,
+                        self.owners.vacant(),
                     )
                     .first()
                     .copied(),
@@ -371,7 +396,7 @@
                 backend_server,
                 requests: self.requests.list(head).count() as u32,
             },
-            Some((Place::Redirected(backend_server), _)) => {
+            Some((Place::Redirected { backend_server, .. }, _)) => {
                 FlowHolding::Redirected { backend_server }
             }
             Some((Place::Closed(reason), _)) => FlowHolding::Closed { reason },
@@ -380,11 +405,16 @@
     }
 }
 
+/// The time between two heartbeats that carry loads.
+const LOADS_PERIOD: Duration = Duration::from_secs(1);
+
 fn load_share(server: &Server) -> LoadShare {
     let used = server.running as usize + server.queue.len();
     let share = used * 256 / server.slots.max(1) as usize;
     LoadShare {
         backend_server: server.id,
         used: share.min(usize::from(u16::MAX)) as u16,
+        limit: server.limit().min(u32::from(u16::MAX)) as u16,
+        boot: server.report.map_or(0, |(_, report)| report.boot as u32),
     }
 }
--- a/decisions/src/listing.rs
+++ b/decisions/src/listing.rs
@@ -6,10 +6,14 @@
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
+use smallvec::SmallVec;
 
 use crate::action::Action;
 use crate::event::Listed;
-use crate::ids::InstanceId;
+use crate::ids::{
+    InstanceId,
+    ZoneId, //
+};
 use crate::instance::Instance;
 use crate::peer::MemberState;
 use crate::rendezvous::watches;
@@ -23,8 +27,18 @@
 pub struct Listing {
     /// Listed instances that are not members, since when they are listed.
     strangers: FxHashMap<InstanceId, Time>,
+    /// Zones of the region without a listed instance, since when they are so.
+    empty: FxHashMap<ZoneId, Time>,
+    /// Whether the list or another instance of the zone has shown that others know this one.
+    settled: bool,
 }
 
+/// How long a zone has to be without a listed instance before it counts as vacant. The list lags.
+const VACANCY: Duration = Duration::from_secs(10);
+
+/// The time between readings of the list until the instance is settled.
+pub(crate) const UNSETTLED_PAUSE: Duration = Duration::from_millis(500);
+
 impl Instance {
     /// Takes the platform's list as a hint, and corrects the own zone's part of it.
     pub(crate) fn on_listed(&mut self, now: Time, list: &[Listed], out: &mut Vec<Action>) {
@@ -37,9 +51,38 @@
         if own != Some(state) {
             self.enlist(state, out);
         }
+        self.listing.settled |= own.is_some();
+        self.note_vacancies(now, list);
         self.prune(now, list, out);
     }
 
+    /// Returns whether others know this instance. Before that it owns nothing, since it could not
+    /// tell whether it is alone in its zone.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.listing.settled || self.membership.is_acknowledged(self.member.zone)
+    }
+
+    fn note_vacancies(&mut self, now: Time, list: &[Listed]) {
+        let zones = self.membership.zones();
+        let empty = &mut self.listing.empty;
+        empty.retain(|zone, _| zones.contains(zone));
+        for zone in &zones {
+            if list.iter().any(|listed| listed.member.zone == *zone) {
+                empty.remove(zone);
+            } else {
+                empty.entry(*zone).or_insert(now);
+            }
+        }
+        let long = empty
+            .iter()
+            .filter(|(_, since)| now.since(**since) >= VACANCY);
+        let mut vacant: SmallVec<[ZoneId; 4]> = long.map(|(zone, _)| *zone).collect();
+        vacant.sort_unstable();
+        if self.owners.set_vacant(vacant) {
+            self.refreshed = None;
+        }
+    }
+
     fn own_state(&self) -> MemberState {
         if self.leaving.is_some() {
             MemberState::Leaving
--- a/decisions/src/membership.rs
+++ b/decisions/src/membership.rs
@@ -139,6 +139,10 @@
     pub(crate) due: Time,
     /// Set when the watched members may have changed, so that a tick is due at once.
     pub(crate) dirty: bool,
+    /// Set when a change was learnt that is to be passed on before the next heartbeats are due.
+    pub(crate) urgent: bool,
+    /// When heartbeats were last sent early.
+    pub(crate) hurried: Time,
 }
 
 impl Membership {
@@ -163,6 +167,8 @@
             ticked: None,
             due: Time::ZERO,
             dirty: true,
+            urgent: false,
+            hurried: Time::ZERO,
         }
     }
 
@@ -250,6 +256,7 @@
         self.change_neighbour(now);
         self.check_contacts(now);
         self.rewatch(now);
+        self.hurry(now);
         self.beat(now, ctx, out);
         self.probe(now, out);
         self.try_hints(now, ctx, out);
@@ -391,6 +398,16 @@
         self.members.zone(zone).map_or(&[], |z| z.live())
     }
 
+    /// Returns the zones of the region.
+    pub fn zones(&self) -> Vec<ZoneId> {
+        self.zones.iter().map(|z| z.zone).collect()
+    }
+
+    /// Returns whether any other live member of a zone has acknowledged a heartbeat.
+    pub fn is_acknowledged(&self, zone: ZoneId) -> bool {
+        self.live(zone).iter().any(|id| self.acked(*id).is_some())
+    }
+
     /// Returns the live members of all zones of the region.
     pub fn live_region(&self) -> Vec<InstanceId> {
         let zones = self.zones.iter();
--- a/decisions/src/owners.rs
+++ b/decisions/src/owners.rs
@@ -22,6 +22,8 @@
 pub struct Owners {
     /// The membership's generation that the entries were computed from.
     generation: u64,
+    /// Zones of the region that have no instance of their own.
+    vacant: SmallVec<[ZoneId; 4]>,
     cache: FxHashMap<BackendServerId, Succession>,
 }
 
@@ -39,7 +41,22 @@
         }
         self.cache
             .entry(server)
-            .or_insert_with(|| compute(server, zone, membership))
+            .or_insert_with(|| compute(server, zone, membership, &self.vacant))
+    }
+
+    /// Sets the zones that have no instance of their own; returns whether that is a change.
+    pub fn set_vacant(&mut self, vacant: SmallVec<[ZoneId; 4]>) -> bool {
+        if self.vacant == vacant {
+            return false;
+        }
+        self.vacant = vacant;
+        self.cache.clear();
+        true
+    }
+
+    /// Returns the zones that have no instance of their own.
+    pub fn vacant(&self) -> &[ZoneId] {
+        &self.vacant
     }
 
     /// Forgets all entries, because zones or backend servers changed.
@@ -48,11 +65,16 @@
     }
 }
 
-/// Computes a succession. Where the zone has no live instance, instances of the region's other
-/// zones own its backend servers.
-pub fn compute(server: BackendServerId, zone: ZoneId, membership: &Membership) -> Succession {
+/// Computes a succession. Where the zone has no instance, instances of the region's other zones own
+/// its backend servers. A zone of which no instance is known need not be vacant.
+pub fn compute(
+    server: BackendServerId,
+    zone: ZoneId,
+    membership: &Membership,
+    vacant: &[ZoneId],
+) -> Succession {
     let live = membership.live(zone);
-    if !live.is_empty() {
+    if !live.is_empty() || !vacant.contains(&zone) {
         return rank_owners(server, live);
     }
     rank_owners(server, &membership.live_region())
--- a/decisions/src/ownership.rs
+++ b/decisions/src/ownership.rs
@@ -6,7 +6,10 @@
 use smallvec::SmallVec;
 
 use crate::action::Action;
-use crate::config::ServerState;
+use crate::config::{
+    ServerState,
+    ZoneState, //
+};
 use crate::counter::Counter;
 use crate::event::Health;
 use crate::ids::{
@@ -34,6 +37,10 @@
     /// fence, so that a paused owner is fenced before its successor admits.
     #[serde(with = "humantime_serde")]
     pub takeover: Duration,
+    /// How much longer the first instance of a zone waits, so that the instances that owned the
+    /// zone's backend servers before hear of it.
+    #[serde(with = "humantime_serde")]
+    pub distance: Duration,
     /// How long a new owner reckons with flows and requests of the one before. Also how long closed
     /// flows are remembered.
     #[serde(with = "humantime_serde")]
@@ -45,6 +52,7 @@
         OwnershipSettings {
             fence: Duration::from_millis(900),
             takeover: Duration::from_millis(1500),
+            distance: Duration::from_secs(2),
             memory: Duration::from_secs(60),
         }
     }
@@ -57,11 +65,16 @@
 impl Instance {
     /// Compares the backend servers that this instance owns with those that it should own.
     pub(crate) fn refresh_owners(&mut self, now: Time, out: &mut Vec<Action>) {
-        let generation = (self.membership.generation(), self.configuration.revision);
-        if self.refreshed == Some(generation) {
+        let settled = self.is_settled();
+        let basis = (
+            self.membership.generation(),
+            self.configuration.revision,
+            settled,
+        );
+        if self.refreshed == Some(basis) {
             return;
         }
-        self.refreshed = Some(generation);
+        self.refreshed = Some(basis);
         let wanted = self.wanted_servers();
         for id in self.servers.ids() {
             if !wanted.iter().any(|(other, _)| *other == id) {
@@ -88,12 +101,19 @@
     fn wanted_servers(&mut self) -> Vec<(BackendServerId, Succession)> {
         let me = self.member.id;
         let mut wanted = Vec::new();
+        if !self.is_settled() {
+            return wanted;
+        }
         for server in self.configuration.servers.values() {
             let Some(pool) = self.configuration.pools.get(&server.pool) else {
                 continue;
             };
-            // Another zone's backend servers matter only where that zone has no live instance.
-            if pool.zone != self.member.zone && !self.membership.live(pool.zone).is_empty() {
+            // Nothing is sent to a zone that is out, not even polls.
+            let zone = self.configuration.zones.get(&pool.zone);
+            if zone.is_none_or(|zone| zone.state == ZoneState::Out) {
+                continue;
+            }
+            if pool.zone != self.member.zone && !self.owners.vacant().contains(&pool.zone) {
                 continue;
             }
             let succession = self
@@ -110,7 +130,7 @@
     /// reach of owners.
     fn refresh_missing(&mut self, now: Time, id: BackendServerId, out: &mut Vec<Action>) {
         if self.configuration.servers.contains_key(&id) {
-            let zone = self.zone_of(id);
+            let zone = self.zone_of(id).filter(|zone| self.is_in(*zone));
             let owner = zone.and_then(|zone| self.owner(id, zone));
             self.release(now, id, owner, out);
             return;
@@ -168,9 +188,10 @@
         } else {
             Phase::Waiting { until }
         };
+        let inherited = self.limits.remove(&id).map(|(_, load)| load);
         let mut warmup = Warmup::cold(now);
         if let Some((_, limit)) = handed {
-            warmup.resume(limit, config.slots, now);
+            warmup.resume(limit, config.slots);
         }
         let server = Server {
             id,
@@ -188,8 +209,9 @@
             fenced: false,
             lapsed: None,
             warmup,
-            running: 0,
-            flows: 0,
+            inherited,
+            running: self.count_running(id),
+            flows: self.count_hosted(id),
             queue: SmallVec::new(),
             health: Health::Serving,
             missed: 0,
@@ -202,18 +224,24 @@
             backend_server: id,
             health: server.endpoint,
         });
+        let flows = server.flows;
         self.servers.insert(server);
         self.counters.add(Counter::Acquisitions);
-        let flows = self.count_hosted(id);
-        if let Some(server) = self.servers.get_mut(id) {
-            server.flows = flows;
-        }
         out.push(Action::Note(Occurrence::Acquired {
             backend_server: id,
             flows,
         }));
     }
 
+    /// Counts the requests that a handover brought before the ownership.
+    fn count_running(&self, id: BackendServerId) -> u32 {
+        let running = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.backend_server == id && request.progress.takes_slot());
+        running.count() as u32
+    }
+
     fn count_hosted(&self, id: BackendServerId) -> u32 {
         let place = crate::flows::Place::Hosted(id);
         self.flows.iter().filter(|(_, f)| f.place == place).count() as u32
@@ -230,6 +258,10 @@
                 until = until.max(granted + delay);
             }
         }
+        if self.membership.live(self.member.zone).len() <= 1 {
+            // An owner in another zone has to hear of this instance first.
+            return until.max(now + delay + self.settings.ownership.distance);
+        }
         // A live earlier owner hands over. Until it has, its lease runs.
         if known { until } else { now + delay }
     }
--- a/decisions/src/spread.rs
+++ b/decisions/src/spread.rs
@@ -24,6 +24,7 @@
     ZoneId, //
 };
 use crate::instance::Instance;
+use crate::listing::UNSETTLED_PAUSE;
 use crate::occurrence::Occurrence;
 use crate::packet::Reason;
 use crate::peer::PeerMessage;
@@ -258,10 +259,10 @@
             self.read_store(out);
         }
         if now >= self.spread.next_list {
-            let pause = if watching {
-                self.settings.spread.list
-            } else {
-                self.settings.spread.poll
+            let pause = match (self.is_settled(), watching) {
+                (false, _) => UNSETTLED_PAUSE,
+                (true, true) => self.settings.spread.list,
+                (true, false) => self.settings.spread.poll,
             };
             self.spread.next_list = now + self.jitter(pause);
             out.push(Action::ReadList);
--- a/decisions/src/watching.rs
+++ b/decisions/src/watching.rs
@@ -28,6 +28,9 @@
 /// How many hints are tried at once while no other member of the zone is known.
 const FIRST_HINTS: usize = 3;
 
+/// The shortest time between two rounds of early heartbeats.
+const HURRY_PAUSE: Duration = Duration::from_millis(100);
+
 impl Membership {
     /// Starts all failure timeouts anew: this process was paused, so that silence says nothing.
     pub(crate) fn wake(&mut self, now: Time) {
@@ -228,6 +231,21 @@
         }
     }
 
+    /// Makes all heartbeats due after a change, so that the other zones' instances do not go on
+    /// sending packets to a dead one for several heartbeats.
+    pub(crate) fn hurry(&mut self, now: Time) {
+        if !self.urgent || now < self.hurried + HURRY_PAUSE {
+            return;
+        }
+        self.urgent = false;
+        self.hurried = now;
+        for &key in &self.watched {
+            if let Some(watch) = self.members.at_mut(key).and_then(|e| e.watch.as_mut()) {
+                watch.next = watch.next.min(now);
+            }
+        }
+    }
+
     /// Reopens silent links, and has silent members of the own zone probed by others.
     pub(crate) fn probe(&mut self, now: Time, out: &mut Vec<Action>) {
         for at in 0..self.watched.len() {
@@ -378,6 +396,9 @@
     pub(crate) fn next_due(&self) -> Time {
         let timeout = self.settings.link_timeout;
         let mut due = self.next_hint.min(self.next_neighbour);
+        if self.urgent {
+            due = due.min(self.hurried + HURRY_PAUSE);
+        }
         for &key in &self.watched {
             let Some(watch) = self.members.at(key).and_then(|e| e.watch.as_ref()) else {
                 continue;
