Do not take a zone for vacant or a flow for unknown on partial knowledge

Cause: an instance that had just started with a lagging list knew only dead members of another zone and took its backend servers; any dead member of the own zone cut the takeover delay short, even where the former owner was alive; a starting instance reset flows that others served. Change: a zone is vacant by the list only if the list shows this instance too, and by its members only if some were seen alive and no listed one is unknown; the delay is cut short only for a dead former owner; only the owner of a backend server decides about a flow without a record.

--- a/decisions/src/instance.rs
+++ b/decisions/src/instance.rs
@@ -105,6 +105,8 @@
     /// was last computed.
     pub(crate) refreshed: Option<(u64, Revision, bool)>,
     pub(crate) servers: Servers,
+    /// The owners of the backend servers that this instance succeeds to.
+    pub(crate) former: FxHashMap<BackendServerId, InstanceId>,
     /// Limits of backend servers that were handed over before this instance knew that it owns them.
     pub(crate) handed: FxHashMap<BackendServerId, (Time, u32)>,
     /// What other owners last said of their backend servers.
@@ -146,6 +148,7 @@
             owners: Owners::default(),
             refreshed: None,
             servers: Servers::default(),
+            former: FxHashMap::default(),
             handed: FxHashMap::default(),
             limits: FxHashMap::default(),
             flows: Flows::default(),
--- a/decisions/src/listing.rs
+++ b/decisions/src/listing.rs
@@ -51,8 +51,11 @@
         if own != Some(state) {
             self.enlist(state, out);
         }
-        self.listing.settled |= own.is_some();
-        self.note_vacancies(now, list);
+        if own.is_some() {
+            self.listing.settled = true;
+            // A list from before this instance may lack the others of its time as well.
+            self.note_vacancies(now, list);
+        }
         self.prune(now, list, out);
     }
 
--- a/decisions/src/membership.rs
+++ b/decisions/src/membership.rs
@@ -125,6 +125,8 @@
     /// The platform's last list. Other regions are left out on use, because the zones of the
     /// region may become known after the list.
     pub(crate) hints: Vec<Member>,
+    /// The zones that have had live members since this instance started.
+    pub(crate) peopled: Vec<ZoneId>,
     /// The sequence of the last heartbeat.
     pub(crate) sequence: u64,
     /// The highest configuration that any member spoke of.
@@ -159,6 +161,7 @@
             neighbour: None,
             watched: Vec::new(),
             hints: Vec::new(),
+            peopled: Vec::new(),
             sequence: 0,
             newest: Revision(0),
             left: false,
@@ -255,6 +258,7 @@
         self.bury(now);
         self.change_neighbour(now);
         self.check_contacts(now);
+        self.note_peopled();
         self.rewatch(now);
         self.hurry(now);
         self.beat(now, ctx, out);
@@ -266,6 +270,14 @@
         self.due = self.next_due().max(now + Duration::from_millis(1));
     }
 
+    fn note_peopled(&mut self) {
+        for zone in self.zones() {
+            if !self.live(zone).is_empty() && !self.peopled.contains(&zone) {
+                self.peopled.push(zone);
+            }
+        }
+    }
+
     /// Returns when the next [`Membership::tick`] is due.
     pub fn deadline(&self) -> Option<Time> {
         match self.ticked {
@@ -408,9 +420,13 @@
         self.live(zone).iter().any(|id| self.acked(*id).is_some())
     }
 
-    /// Returns whether all members of a zone that are known have left or are leaving.
+    /// Returns whether a zone had live members and all of them have left or are leaving. A listed
+    /// member of which nothing is known may be alive.
     pub fn is_vacated(&self, zone: ZoneId) -> bool {
-        self.live(zone).is_empty() && self.updates().any(|u| u.member.zone == zone)
+        let unknown = |member: &Member| member.zone == zone && self.state(member.id).is_none();
+        self.live(zone).is_empty()
+            && self.peopled.contains(&zone)
+            && !self.hints.iter().any(unknown)
     }
 
     /// Returns the live members of all zones of the region.
--- a/decisions/src/ownership.rs
+++ b/decisions/src/ownership.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
 use serde::Deserialize;
 use smallvec::SmallVec;
 
@@ -22,6 +23,7 @@
     Succession,
     is_vacant, //
 };
+use crate::peer::MemberState;
 use crate::servers::{
     Phase,
     Server, //
@@ -84,6 +86,7 @@
                 self.refresh_missing(now, id, out);
             }
         }
+        let mut former = FxHashMap::default();
         let mut partners: SmallVec<[InstanceId; 16]> = SmallVec::new();
         for (id, succession) in wanted {
             for instance in succession.iter().take(RENEWAL + 1) {
@@ -93,10 +96,16 @@
             }
             if succession.first() == Some(&self.member.id) {
                 self.refresh_owned(now, id, &succession, out);
-            } else if self.servers.owns(id) {
-                self.release(now, id, succession.first().copied(), out);
+            } else {
+                if self.servers.owns(id) {
+                    self.release(now, id, succession.first().copied(), out);
+                }
+                if let Some(owner) = succession.first() {
+                    former.insert(id, *owner);
+                }
             }
         }
+        self.former = former;
         self.membership.set_partners(&partners);
     }
 
@@ -185,7 +194,7 @@
         let Some(pool) = self.configuration.pools.get(&config.pool) else {
             return;
         };
-        let until = self.takeover_end(now);
+        let until = self.takeover_end(now, id);
         let handed = self.handed.remove(&id);
         let phase = if handed.is_some() {
             Phase::Active
@@ -252,12 +261,13 @@
     }
 
     /// Returns when the lease of every possible earlier owner has lapsed.
-    fn takeover_end(&self, now: Time) -> Time {
+    fn takeover_end(&self, now: Time, id: BackendServerId) -> Time {
         let delay = self.settings.ownership.takeover;
+        let former = self.former.get(&id);
+        let died =
+            former.is_some_and(|owner| self.membership.state(*owner) == Some(MemberState::Dead));
         let mut until = now;
-        let mut known = false;
         for dead in self.membership.dead(self.member.zone) {
-            known = true;
             if let Some(granted) = self.membership.granted(dead) {
                 until = until.max(granted + delay);
             }
@@ -266,8 +276,8 @@
             // An owner in another zone has to hear of this instance first.
             return until.max(now + delay + self.settings.ownership.distance);
         }
-        // A live earlier owner hands over. Until it has, its lease runs.
-        if known { until } else { now + delay }
+        // Another earlier owner may be alive and hands over. Until it has, its lease runs.
+        if died { until } else { until.max(now + delay) }
     }
 
     /// Gives a backend server up and hands its flows to the next owner.
--- a/decisions/src/routing.rs
+++ b/decisions/src/routing.rs
@@ -475,6 +475,11 @@
         packet: Packet,
         out: &mut Vec<Action>,
     ) {
+        if !self.servers.owns(relay.backend_server) {
+            // This instance does not know enough members yet to tell who the owner is.
+            self.counters.add(Counter::NoOwner);
+            return;
+        }
         let recent = self.is_recent(now, relay.backend_server);
         let doubt = relay.doubt || packet.attempt > 0;
         match packet.kind {
