Keep refusals apart from closed flows

Cause: the note that an instance had refused to open a flow answered later packets with a reset, although the flow had been opened elsewhere; during a cut an instance reset flows that were served in the zone out of reach. Change: a refusal only serves the next attempt; without all candidates in reach a flow without a record is left alone.

--- a/decisions/src/flows.rs
+++ b/decisions/src/flows.rs
@@ -42,6 +42,9 @@
         /// so that redirects of different ages can't form a loop.
         position: u8,
     },
+    /// Nowhere: this instance refused to open it. It may have been opened elsewhere since. Kept so
+    /// that the next attempt need not be doubted.
+    Refused,
     /// Nowhere any more. Kept so that late packets get the same outcome.
     Closed(Reason),
 }
--- a/decisions/src/instance.rs
+++ b/decisions/src/instance.rs
@@ -403,7 +403,7 @@
                 FlowHolding::Redirected { backend_server }
             }
             Some((Place::Closed(reason), _)) => FlowHolding::Closed { reason },
-            None => FlowHolding::None,
+            Some((Place::Refused, _)) | None => FlowHolding::None,
         }
     }
 }
--- a/decisions/src/routing.rs
+++ b/decisions/src/routing.rs
@@ -132,6 +132,10 @@
                 self.redirect(now, relay, key, packet, out)
             }
             Place::Closed(reason) => self.answer_closed(now, key, reason, packet, out),
+            Place::Refused => {
+                packet.kind.starts_request()
+                    && self.answer_closed(now, key, Reason::Overload, packet, out)
+            }
             // Its owner died, and this instance took over: the record still tells where the flow is.
             Place::Redirected { .. } => false,
             Place::Hosted(_) => {
@@ -295,7 +299,7 @@
 
     /// Remembers that a flow was not opened, so that its next attempt need not be doubted.
     fn note_refusal(&mut self, now: Time, packet: &Packet) {
-        let place = Place::Closed(Reason::Overload);
+        let place = Place::Refused;
         let mut flow = Flow::new(packet.flow, packet.service, place, packet.route, now);
         flow.remember_refusal(packet.request, packet.attempt);
         self.insert_flow(flow);
@@ -503,7 +507,8 @@
                 };
                 self.place(now, relay, ranking, packet, out);
             }
-            PacketKind::Data => {
+            // The flow may be served in a zone that can't be reached at present.
+            PacketKind::Data if ranking.iter().all(|c| self.usable(c.zone)) => {
                 self.send_caller(packet.reply(PacketKind::Reset, Reason::UnknownFlow), out);
             }
             _ => self.counters.add(Counter::StrayPackets),
--- a/decisions/src/upkeep.rs
+++ b/decisions/src/upkeep.rs
@@ -275,7 +275,7 @@
                     Place::Hosted(_) => flow.requests.is_none() && age >= idle(flow.service),
                     Place::Redirected { .. } if flow.opened => age >= idle(flow.service),
                     Place::Redirected { .. } => age >= hosting.unconfirmed,
-                    Place::Closed(_) => age >= memory,
+                    Place::Closed(_) | Place::Refused => age >= memory,
                 }
             })
             .map(|(key, _)| key)
