Make flow records smaller

An optional time took 16 bytes, and the finished non-idempotent requests 32 bytes in each record, although most flows have none.

Time keeps one more than its nanoseconds in a NonZeroU64, so that an optional time takes 8 bytes, and the finished requests are boxed.

--- a/decisions/src/flows.rs
+++ b/decisions/src/flows.rs
@@ -65,8 +65,8 @@
     pub opened: bool,
     /// Its requests in progress, as a list through [`crate::requests::Request::next`].
     pub requests: Option<RequestKey>,
-    /// The latest finished non-idempotent requests.
-    pub finished: [Option<RequestId>; FINISHED],
+    /// The latest finished non-idempotent requests. Boxed, because most flows have none.
+    finished: Option<Box<[Option<RequestId>; FINISHED]>>,
 }
 
 impl Flow {
@@ -83,19 +83,21 @@
             unanswered: 0,
             opened: false,
             requests: None,
-            finished: [None; FINISHED],
+            finished: None,
         }
     }
 
     /// Remembers a finished non-idempotent request in place of the oldest one.
     pub fn remember(&mut self, request: RequestId) {
-        self.finished.rotate_right(1);
-        self.finished[0] = Some(request);
+        let finished = self.finished.get_or_insert_default();
+        finished.rotate_right(1);
+        finished[0] = Some(request);
     }
 
     /// Returns whether a non-idempotent request is remembered as finished.
     pub fn has_finished(&self, request: RequestId) -> bool {
-        self.finished.contains(&Some(request))
+        let finished = self.finished.as_deref();
+        finished.is_some_and(|finished| finished.contains(&Some(request)))
     }
 }
 
--- a/decisions/src/time.rs
+++ b/decisions/src/time.rs
@@ -1,5 +1,6 @@
 //! Monotonic time as the decisions see it.
 
+use std::num::NonZeroU64;
 use std::ops::{
     Add,
     Sub, //
@@ -7,8 +8,12 @@
 use std::time::Duration;
 
 /// Monotonic time since the process started, in nanoseconds, which last for 584 years.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct Time(u64);
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Time(
+    /// One more than the nanoseconds, so that an optional time takes no more room than a time. Flow
+    /// records hold them by the hundred thousand.
+    NonZeroU64,
+);
 
 const fn nanos(duration: Duration) -> u64 {
     duration.as_nanos() as u64
@@ -16,26 +21,43 @@
 
 impl Time {
     /// The start of the process.
-    pub const ZERO: Time = Time(0);
+    pub const ZERO: Time = Time(NonZeroU64::MIN);
+
+    const fn at(nanos: u64) -> Time {
+        match NonZeroU64::new(nanos.saturating_add(1)) {
+            Some(nanos) => Time(nanos),
+            None => Time::ZERO,
+        }
+    }
+
+    const fn nanos(self) -> u64 {
+        self.0.get() - 1
+    }
 
     /// Returns the time that lies `since` after the start of the process.
     pub const fn from_start(since: Duration) -> Time {
-        Time(nanos(since))
+        Time::at(nanos(since))
     }
 
     /// Returns the time that lies `millis` milliseconds after the start of the process.
     pub const fn from_millis(millis: u64) -> Time {
-        Time(millis * 1_000_000)
+        Time::at(millis * 1_000_000)
     }
 
     /// Returns how long after the start of the process this time is.
     pub const fn since_start(self) -> Duration {
-        Duration::from_nanos(self.0)
+        Duration::from_nanos(self.nanos())
     }
 
     /// Returns the time elapsed from `earlier` to `self`, or zero if `earlier` is later.
     pub fn since(self, earlier: Time) -> Duration {
-        Duration::from_nanos(self.0.saturating_sub(earlier.0))
+        Duration::from_nanos(self.nanos().saturating_sub(earlier.nanos()))
+    }
+}
+
+impl Default for Time {
+    fn default() -> Time {
+        Time::ZERO
     }
 }
 
@@ -43,7 +65,7 @@
     type Output = Time;
 
     fn add(self, duration: Duration) -> Time {
-        Time(self.0.saturating_add(nanos(duration)))
+        Time::at(self.nanos().saturating_add(nanos(duration)))
     }
 }
 
@@ -51,6 +73,6 @@
     type Output = Time;
 
     fn sub(self, duration: Duration) -> Time {
-        Time(self.0.saturating_sub(nanos(duration)))
+        Time::at(self.nanos().saturating_sub(nanos(duration)))
     }
 }
