Follow configurations and members by what changed

Ownership was computed for all backend servers, and, because members of other regions are not tracked, each region took the backend servers of all others for its own. Tables were rebuilt for all services, and owners forgotten at each revision.

Ownership now looks at the own zone and at those of the region without a live instance. Tables are rebuilt for the services that a record touches, which Configuration::touched names. Owners are kept over a change of the configuration, since they depend on members alone. The best of a ranking keep their least score at hand.

--- a/decisions/benches/slopes/configuration.rs
+++ b/decisions/benches/slopes/configuration.rs
@@ -101,7 +101,11 @@
     for round in rounds() {
         let record = site::next_record(configuration, vec![reweigh(shape, round)]);
         configuration.apply(&record)?;
-        let changed = times.time(1, || tables.update(configuration))?;
+        let changed = times.time(1, || {
+            let mut touched = Vec::new();
+            configuration.touched(&record, &mut touched);
+            tables.update_services(configuration, touched)
+        })?;
         if changed.len() != 1 {
             return Err("one change must change one table".into());
         }
--- /dev/null
+++ b/decisions/src/config_touch.rs
@@ -0,0 +1,51 @@
+//! The services whose candidates a record may change.
+
+use crate::config::{
+    Change,
+    Configuration,
+    Record, //
+};
+use crate::ids::{
+    PoolId,
+    ServiceId, //
+};
+
+impl Configuration {
+    /// Adds the services whose candidates a record may change, as this configuration names them.
+    /// Names may be new or may vanish, so it is asked both before and after the record is applied.
+    pub fn touched(&self, record: &Record, services: &mut Vec<ServiceId>) {
+        for change in &record.changes {
+            self.touched_by(change, services);
+        }
+    }
+
+    fn touched_by(&self, change: &Change, services: &mut Vec<ServiceId>) {
+        match change {
+            Change::PutService { name, .. } | Change::DeleteService { name } => {
+                services.extend(self.service_named(name).map(|service| service.id));
+            }
+            Change::CreatePool { name, .. } | Change::DeletePool { name } => {
+                services.extend(self.pool_named(name).map(|pool| pool.service));
+            }
+            Change::PutServer { name, .. }
+            | Change::SetServer { name, .. }
+            | Change::DeleteServer { name } => {
+                let server = self.server_named(name);
+                services.extend(server.and_then(|server| self.service_of(server.pool)));
+            }
+            Change::CreateZone { name, .. }
+            | Change::SetZone { name, .. }
+            | Change::DeleteZone { name } => {
+                let Some(zone) = self.zone_named(name) else {
+                    return;
+                };
+                let pools = self.zone_pools(zone.id).iter();
+                services.extend(pools.filter_map(|pool| self.service_of(*pool)));
+            }
+        }
+    }
+
+    fn service_of(&self, pool: PoolId) -> Option<ServiceId> {
+        self.pools.get(&pool).map(|pool| pool.service)
+    }
+}
--- a/decisions/src/lib.rs
+++ b/decisions/src/lib.rs
@@ -15,6 +15,7 @@
 mod config_overlay;
 mod config_plan;
 pub mod config_restore;
+mod config_touch;
 mod contact;
 pub mod counter;
 pub mod event;
--- a/decisions/src/owners.rs
+++ b/decisions/src/owners.rs
@@ -17,7 +17,8 @@
 /// The owner of a backend server and its successors, in order.
 pub type Succession = SmallVec<[InstanceId; SUCCESSION]>;
 
-/// The owners of backend servers, kept until the membership changes.
+/// The owners of backend servers, kept until the membership changes. A new configuration leaves them
+/// as they are: a backend server never changes its zone, and identifiers are never reused.
 #[derive(Default)]
 pub struct Owners {
     /// The membership's generation that the entries were computed from.
@@ -41,11 +42,6 @@
             .entry(server)
             .or_insert_with(|| compute(server, zone, membership))
     }
-
-    /// Forgets all entries, because zones or backend servers changed.
-    pub fn clear(&mut self) {
-        self.cache.clear();
-    }
 }
 
 /// Computes a succession. Where the zone has no live instance, instances of the region's other
--- a/decisions/src/ownership.rs
+++ b/decisions/src/ownership.rs
@@ -11,7 +11,8 @@
 use crate::event::Health;
 use crate::ids::{
     BackendServerId,
-    InstanceId, //
+    InstanceId,
+    ZoneId, //
 };
 use crate::instance::Instance;
 use crate::occurrence::Occurrence;
@@ -88,24 +89,31 @@
     fn wanted_servers(&mut self) -> Vec<(BackendServerId, Succession)> {
         let me = self.member.id;
         let mut wanted = Vec::new();
-        for server in self.configuration.servers.values() {
-            let Some(pool) = self.configuration.pools.get(&server.pool) else {
-                continue;
-            };
-            // Another zone's backend servers matter only where that zone has no live instance.
-            if pool.zone != self.member.zone && !self.membership.live(pool.zone).is_empty() {
-                continue;
-            }
-            let succession = self
-                .owners
-                .succession(server.id, pool.zone, &self.membership);
-            if succession.contains(&me) {
-                wanted.push((server.id, succession.clone()));
+        for zone in self.ownable_zones() {
+            for server in self.configuration.zone_servers(zone) {
+                let succession = self.owners.succession(server.id, zone, &self.membership);
+                if succession.contains(&me) {
+                    wanted.push((server.id, succession.clone()));
+                }
             }
         }
         wanted
     }
 
+    /// Returns the own zone, and those of the region without a live instance. Zones of other regions
+    /// are not tracked, so they always look as if they had none.
+    fn ownable_zones(&self) -> SmallVec<[ZoneId; 4]> {
+        let zones = &self.configuration.zones;
+        let Some(own) = zones.get(&self.member.zone) else {
+            return SmallVec::new();
+        };
+        let region = zones.values().filter(|zone| zone.region == own.region);
+        region
+            .map(|zone| zone.id)
+            .filter(|id| *id == own.id || self.membership.live(*id).is_empty())
+            .collect()
+    }
+
     /// Handles an owned backend server that is not configured any more, or not in this instance's
     /// reach of owners.
     fn refresh_missing(&mut self, now: Time, id: BackendServerId, out: &mut Vec<Action>) {
--- a/decisions/src/rendezvous.rs
+++ b/decisions/src/rendezvous.rs
@@ -40,24 +40,30 @@
 pub struct Best<T: Copy, S: PartialOrd + Copy, const N: usize> {
     /// Falling scores; at most `N`.
     items: SmallVec<[(S, T); N]>,
+    /// The last of `N` scores; most offers fail against it.
+    least: Option<S>,
 }
 
 impl<T: Copy, S: PartialOrd + Copy, const N: usize> Default for Best<T, S, N> {
     fn default() -> Self {
         Best {
             items: SmallVec::new(),
+            least: None,
         }
     }
 }
 
 impl<T: Copy, S: PartialOrd + Copy, const N: usize> Best<T, S, N> {
     /// Offers an item.
+    #[inline]
     pub fn offer(&mut self, score: S, item: T) {
-        let full = self.items.len() == N;
-        if full && self.items.last().is_some_and(|(least, _)| score <= *least) {
-            return;
+        if self.least.is_none_or(|least| score > least) {
+            self.insert(score, item);
         }
-        if full {
+    }
+
+    fn insert(&mut self, score: S, item: T) {
+        if self.items.len() == N {
             self.items.pop();
         }
         let mut at = self.items.len();
@@ -65,6 +71,9 @@
             at -= 1;
         }
         self.items.insert(at, (score, item));
+        if self.items.len() == N {
+            self.least = self.items.last().map(|(least, _)| *least);
+        }
     }
 
     /// Returns the items, highest score first.
--- a/decisions/src/spread.rs
+++ b/decisions/src/spread.rs
@@ -111,6 +111,7 @@
     /// Applies records in order. Earlier ones are skipped, so a configuration never reverts.
     pub(crate) fn on_records(&mut self, now: Time, records: Vec<Record>, out: &mut Vec<Action>) {
         let before = self.configuration.revision;
+        let mut touched = Vec::new();
         for record in records {
             let next = Revision(self.configuration.revision.0 + 1);
             if record.revision < next {
@@ -122,6 +123,7 @@
                 });
                 break;
             }
+            self.configuration.touched(&record, &mut touched);
             if Arc::make_mut(&mut self.configuration)
                 .apply(&record)
                 .is_err()
@@ -131,10 +133,12 @@
                 self.counters.add(crate::counter::Counter::BadRecords);
                 break;
             }
+            self.configuration.touched(&record, &mut touched);
             self.spread.keep(record);
         }
         if self.configuration.revision > before {
-            self.reconfigure(now, out);
+            let changed = self.tables.update_services(&self.configuration, touched);
+            self.reconfigure(now, &changed, out);
         }
     }
 
@@ -150,19 +154,18 @@
         }
         self.configuration = snapshot.clone();
         self.spread.records.clear();
-        self.reconfigure(now, out);
+        let changed = self.tables.update(&self.configuration);
+        self.reconfigure(now, &changed, out);
     }
 
-    fn reconfigure(&mut self, now: Time, out: &mut Vec<Action>) {
+    fn reconfigure(&mut self, now: Time, changed: &[ServiceId], out: &mut Vec<Action>) {
         let revision = self.configuration.revision;
         out.push(Action::Note(Occurrence::Configured { revision }));
         self.set_region();
-        let changed = self.tables.update(&self.configuration);
-        self.owners.clear();
         self.update_budgets(now);
         self.give_up_zones(now, out);
         self.refresh_owners(now, out);
-        self.collect_exceptions(&changed);
+        self.collect_exceptions(changed);
     }
 
     fn set_region(&mut self) {
--- a/decisions/src/tables.rs
+++ b/decisions/src/tables.rs
@@ -95,36 +95,33 @@
     /// Backend servers of zones that are out have no place in the table. Draining ones keep
     /// theirs, so that their flows stay at their first choice.
     pub fn update(&mut self, configuration: &Configuration) -> Vec<ServiceId> {
-        let mut lists: FxHashMap<ServiceId, Vec<Candidate>> = configuration
+        let known = self.services.keys();
+        let services: Vec<_> = configuration
             .services
             .keys()
-            .map(|id| (*id, Vec::new()))
+            .chain(known)
+            .copied()
             .collect();
-        for server in configuration.servers.values() {
-            let Some(pool) = configuration.pools.get(&server.pool) else {
-                continue;
-            };
-            let zone = configuration.zones.get(&pool.zone);
-            if zone.is_none_or(|zone| zone.state == ZoneState::Out) {
-                continue;
-            }
-            if let Some(list) = lists.get_mut(&pool.service) {
-                list.push(Candidate {
-                    backend_server: server.id,
-                    zone: pool.zone,
-                    weight: server.weight,
-                });
-            }
-        }
-        self.services.retain(|id, _| lists.contains_key(id));
-        let mut changed = Vec::new();
-        for (service, list) in lists {
-            if self.replace(service, Table::new(list)) {
-                changed.push(service);
+        self.update_services(configuration, services)
+    }
+
+    /// Follows a new configuration that differs from the one before in `services` only, and returns
+    /// those whose table changed, in order. The cost grows with these services alone.
+    pub fn update_services(
+        &mut self,
+        configuration: &Configuration,
+        mut services: Vec<ServiceId>,
+    ) -> Vec<ServiceId> {
+        services.sort_unstable();
+        services.dedup();
+        services.retain(|service| {
+            if configuration.services.contains_key(service) {
+                return self.replace(*service, table_of(configuration, *service));
             }
-        }
-        changed.sort_unstable();
-        changed
+            self.services.remove(service);
+            false
+        });
+        services
     }
 
     fn replace(&mut self, service: ServiceId, table: Table) -> bool {
@@ -156,3 +153,19 @@
         table.rank(flow).first().copied()
     }
 }
+
+fn table_of(configuration: &Configuration, service: ServiceId) -> Table {
+    let in_service = |zone: ZoneId| {
+        let zone = configuration.zones.get(&zone);
+        zone.is_some_and(|zone| zone.state == ZoneState::In)
+    };
+    let candidates = configuration
+        .service_servers(service)
+        .filter(|(_, zone)| in_service(*zone))
+        .map(|(server, zone)| Candidate {
+            backend_server: server.id,
+            zone,
+            weight: server.weight,
+        });
+    Table::new(candidates.collect())
+}
