--- a/decisions/tests/tables.rs
+++ b/decisions/tests/tables.rs
@@ -101,7 +101,7 @@
     };
     let mut touched = Vec::new();
     configuration.touched(&record, &mut touched);
-    configuration.apply(&record).unwrap();
+    assert_eq!(configuration.apply(&record), Ok(()));
     configuration.touched(&record, &mut touched);
     tables.update_services(configuration, touched);
 }
@@ -117,7 +117,7 @@
     let ids: Vec<_> = (1..configuration.next_id).collect();
     for service in ids.into_iter().map(lovagespindle_decisions::ids::ServiceId) {
         for flow in 0..32 {
-            let flow = FlowId(flow << 64 | flow * 77);
+            let flow = FlowId((flow << 64) | (flow * 77));
             assert_eq!(tables.rank(service, flow), whole.rank(service, flow));
         }
     }
