--- a/decisions/src/members.rs
+++ b/decisions/src/members.rs
@@ -40,7 +40,7 @@
     pub(crate) granted: Option<Time>,
     /// Its configuration, as it said last.
     pub(crate) revision: Revision,
-    /// Set while its zone came back and did not mention it yet; it does not count as live.
+    /// Set when its zone came back without mentioning it; it does not count as live.
     pub(crate) doubtful: bool,
     /// Present while heartbeats go to it.
     pub(crate) watch: Option<Watch>,
@@ -117,9 +117,7 @@
         };
         let entry = &self.arena[key];
         let known = entry.update;
-        let later =
-            (update.incarnation, update.state as u8) > (known.incarnation, known.state as u8);
-        if known.member.zone != update.member.zone || !later {
+        if known.member.zone != update.member.zone || !update.supersedes(&known) {
             return false;
         }
         self.change(now, key, update);
--- a/decisions/src/membership.rs
+++ b/decisions/src/membership.rs
@@ -122,7 +122,8 @@
     /// Every member that has a watch; bounded by partners, neighbours and contacts, and by those
     /// that are silent.
     pub(crate) watched: Vec<MemberKey>,
-    /// The platform's last list, without other regions.
+    /// The platform's last list. Other regions are left out on use, because the zones of the
+    /// region may become known after the list.
     pub(crate) hints: Vec<Member>,
     /// The sequence of the last heartbeat.
     pub(crate) sequence: u64,
@@ -138,6 +139,10 @@
     pub(crate) due: Time,
     /// Set when the watched members may have changed, so that a tick is due at once.
     pub(crate) dirty: bool,
+    /// Set when a change was learnt that is to be passed on before the next heartbeats are due.
+    pub(crate) urgent: bool,
+    /// When heartbeats were last sent early.
+    pub(crate) hurried: Time,
 }
 
 impl Membership {
@@ -162,6 +167,8 @@
             ticked: None,
             due: Time::ZERO,
             dirty: true,
+            urgent: false,
+            hurried: Time::ZERO,
         }
     }
 
@@ -190,9 +197,6 @@
                 }
                 continue;
             }
-            if !self.zones.iter().any(|z| z.zone == listed.member.zone) {
-                continue;
-            }
             self.hints.push(listed.member);
             let known = self.members.get(listed.member.id).map(|e| e.update);
             if let Some(known) = known
@@ -252,6 +256,7 @@
         self.change_neighbour(now);
         self.check_contacts(now);
         self.rewatch(now);
+        self.hurry(now);
         self.beat(now, ctx, out);
         self.probe(now, out);
         self.try_hints(now, ctx, out);
@@ -393,6 +398,16 @@
         self.members.zone(zone).map_or(&[], |z| z.live())
     }
 
+    /// Returns the zones of the region.
+    pub fn zones(&self) -> Vec<ZoneId> {
+        self.zones.iter().map(|z| z.zone).collect()
+    }
+
+    /// Returns whether any other live member of a zone has acknowledged a heartbeat.
+    pub fn is_acknowledged(&self, zone: ZoneId) -> bool {
+        self.live(zone).iter().any(|id| self.acked(*id).is_some())
+    }
+
     /// Returns the live members of all zones of the region.
     pub fn live_region(&self) -> Vec<InstanceId> {
         let zones = self.zones.iter();
