--- a/decisions/benches/slopes/packets.rs
+++ b/decisions/benches/slopes/packets.rs
@@ -239,6 +239,7 @@
                     candidate: 0,
                     table: 0,
                     backend_server,
+                    doubt: false,
                 },
                 packet: self.packet(n, kind, 2),
             }
--- a/decisions/src/ownership.rs
+++ b/decisions/src/ownership.rs
@@ -16,7 +16,10 @@
 };
 use crate::instance::Instance;
 use crate::occurrence::Occurrence;
-use crate::owners::Succession;
+use crate::owners::{
+    Succession,
+    is_vacant, //
+};
 use crate::servers::{
     Phase,
     Server, //
@@ -116,10 +119,10 @@
     /// Returns the own zone, and those of the region that have no instance of their own. Nothing is
     /// sent to a zone that is out, not even polls.
     fn ownable_zones(&self) -> SmallVec<[ZoneId; 4]> {
-        let own = self.member.zone;
-        let vacant = self.owners.vacant().iter().copied();
-        std::iter::once(own)
-            .chain(vacant.filter(|zone| *zone != own))
+        let vacant = |zone| is_vacant(zone, &self.membership, self.owners.vacant());
+        let zones = self.configuration.zones.keys().copied();
+        zones
+            .filter(|zone| *zone == self.member.zone || vacant(*zone))
             .filter(|zone| self.is_in(*zone))
             .collect()
     }
