Let the benchmarks follow the merged packets and loads

Requests of the packet benchmark get rising numbers, since finished idempotent requests are remembered now. Loads in heartbeats carry limit and boot number.

--- a/decisions/benches/slopes/packets.rs
+++ b/decisions/benches/slopes/packets.rs
@@ -59,6 +59,8 @@
     tried: u64,
     /// The numbers of the flows that this instance hosts, each with its backend server.
     hosted: Vec<(u64, lovagespindle_decisions::ids::BackendServerId)>,
+    /// Rises with each batch, so that no request repeats a finished one.
+    request: u64,
     rng: Pcg32,
     out: Vec<Action>,
 }
@@ -109,6 +111,7 @@
             now,
             tried: 0,
             hosted: Vec::new(),
+            request: 1,
             rng: Pcg32::seed_from_u64(7),
             out: Vec::new(),
         })
@@ -179,6 +182,7 @@
         for _ in 0..BATCHES {
             let batch = self.foreign();
             self.time(&mut times[0], batch)?;
+            self.request += 1;
             let chosen = self.choose();
             let batch = self.relayed(&chosen, PacketKind::Data);
             self.time(&mut times[1], batch)?;
@@ -241,7 +245,7 @@
                     backend_server,
                     doubt: false,
                 },
-                packet: self.packet(n, kind, 2),
+                packet: self.packet(n, kind, self.request),
             }
         };
         chosen.iter().map(event).collect()
@@ -252,7 +256,7 @@
             let (n, backend_server) = self.hosted[*at];
             Event::ServerPacket {
                 backend_server,
-                packet: self.packet(n, PacketKind::Answer, 2),
+                packet: self.packet(n, PacketKind::Answer, self.request),
             }
         };
         chosen.iter().map(event).collect()
--- a/instances/benches/control.rs
+++ b/instances/benches/control.rs
@@ -211,7 +211,7 @@
                 backend_server: lovagespindle_decisions::ids::BackendServerId(id),
                 used: 128,
                 limit: 4,
-                boot: 0x9e37_79b9_7f4a_7c15,
+                boot: 0x9e37_79b9,
             })
             .collect();
         let context = Context {
