Print how many measured requests were sent at once

Most requests of the packet benchmark were queued, since the limits of the backend servers are low, so its columns of requests and answers are mixtures.

--- a/decisions/benches/slopes/packets.rs
+++ b/decisions/benches/slopes/packets.rs
@@ -79,6 +79,7 @@
             "flows {flows}: {:.1} bytes per flow",
             (grown - list) as f64 / flows as f64
         );
+        bench.warm();
         bench.measure(flows)?;
         benches.push(bench);
     }
@@ -171,6 +172,25 @@
         self.out.clear();
     }
 
+    /// Answers requests until the backend servers bear whole batches.
+    fn warm(&mut self) {
+        for round in 0..8 {
+            for _ in 0..4 << round {
+                self.request += 1;
+                let chosen = self.choose();
+                let requests = self.relayed(&chosen, PacketKind::Request);
+                for event in requests.into_iter().chain(self.answers(&chosen)) {
+                    self.instance.handle(self.now, event, &mut self.out);
+                }
+                self.out.clear();
+            }
+            for _ in 0..11 {
+                self.now = self.now + Duration::from_millis(100);
+                site::tick(&mut self.instance, self.now, &[site::member(1, 0)]);
+            }
+        }
+    }
+
     fn measure(&mut self, flows: usize) -> Result<(), Box<dyn Error>> {
         let names = [
             "entry relays data",
@@ -179,6 +199,7 @@
             "owner handles its answer",
         ];
         let mut times = [Times::new()?, Times::new()?, Times::new()?, Times::new()?];
+        let mut sent = 0;
         for _ in 0..BATCHES {
             let batch = self.foreign();
             self.time(&mut times[0], batch)?;
@@ -187,26 +208,31 @@
             let batch = self.relayed(&chosen, PacketKind::Data);
             self.time(&mut times[1], batch)?;
             let batch = self.relayed(&chosen, PacketKind::Request);
-            self.time(&mut times[2], batch)?;
+            sent += self.time(&mut times[2], batch)?;
             let batch = self.answers(&chosen);
             self.time(&mut times[3], batch)?;
         }
         for (name, times) in names.iter().zip(&times) {
             times.print(&format!("flows {flows}: {name}"));
         }
+        let share = sent as f64 / (BATCHES * BATCH) as f64 * 100.0;
+        println!("flows {flows}: {share:.1} % of the requests were sent at once");
         self.measure_opens(flows)?;
         self.measure_sweep(flows)
     }
 
-    fn time(&mut self, times: &mut Times, batch: Vec<Event>) -> Result<(), Box<dyn Error>> {
+    /// Times a batch and returns how many packets went to backend servers.
+    fn time(&mut self, times: &mut Times, batch: Vec<Event>) -> Result<usize, Box<dyn Error>> {
         let steps = batch.len();
         times.time(steps, || {
             for event in batch {
                 self.instance.handle(self.now, event, &mut self.out);
             }
         })?;
+        let to_server = |action: &&Action| matches!(action, Action::SendServer { .. });
+        let sent = self.out.iter().filter(to_server).count();
         self.out.clear();
-        Ok(())
+        Ok(sent)
     }
 
     /// Returns data of flows that the other instance owns.
