--- a/decisions/src/owners.rs
+++ b/decisions/src/owners.rs
@@ -17,7 +17,8 @@
 /// The owner of a backend server and its successors, in order.
 pub type Succession = SmallVec<[InstanceId; SUCCESSION]>;
 
-/// The owners of backend servers, kept until the membership changes.
+/// The owners of backend servers, kept until the membership changes. A new configuration leaves them
+/// as they are: a backend server never changes its zone, and identifiers are never reused.
 #[derive(Default)]
 pub struct Owners {
     /// The membership's generation that the entries were computed from.
@@ -58,11 +59,6 @@
     pub fn vacant(&self) -> &[ZoneId] {
         &self.vacant
     }
-
-    /// Forgets all entries, because zones or backend servers changed.
-    pub fn clear(&mut self) {
-        self.cache.clear();
-    }
 }
 
 /// Returns whether a zone has no instance: those that were known have left, or the platform's list
--- a/decisions/src/ownership.rs
+++ b/decisions/src/ownership.rs
@@ -7,15 +7,13 @@
 use smallvec::SmallVec;
 
 use crate::action::Action;
-use crate::config::{
-    ServerState,
-    ZoneState, //
-};
+use crate::config::ServerState;
 use crate::counter::Counter;
 use crate::event::Health;
 use crate::ids::{
     BackendServerId,
-    InstanceId, //
+    InstanceId,
+    ZoneId, //
 };
 use crate::instance::Instance;
 use crate::occurrence::Occurrence;
@@ -116,29 +114,28 @@
         if !self.is_settled() {
             return wanted;
         }
-        for server in self.configuration.servers.values() {
-            let Some(pool) = self.configuration.pools.get(&server.pool) else {
-                continue;
-            };
-            // Nothing is sent to a zone that is out, not even polls.
-            let zone = self.configuration.zones.get(&pool.zone);
-            if zone.is_none_or(|zone| zone.state == ZoneState::Out) {
-                continue;
-            }
-            let vacant = is_vacant(pool.zone, &self.membership, self.owners.vacant());
-            if pool.zone != self.member.zone && !vacant {
-                continue;
-            }
-            let succession = self
-                .owners
-                .succession(server.id, pool.zone, &self.membership);
-            if succession.contains(&me) {
-                wanted.push((server.id, succession.clone()));
+        for zone in self.ownable_zones() {
+            for server in self.configuration.zone_servers(zone) {
+                let succession = self.owners.succession(server.id, zone, &self.membership);
+                if succession.contains(&me) {
+                    wanted.push((server.id, succession.clone()));
+                }
             }
         }
         wanted
     }
 
+    /// Returns the own zone, and those of the region that have no instance of their own. Nothing is
+    /// sent to a zone that is out, not even polls.
+    fn ownable_zones(&self) -> SmallVec<[ZoneId; 4]> {
+        let vacant = |zone| is_vacant(zone, &self.membership, self.owners.vacant());
+        let zones = self.configuration.zones.keys().copied();
+        zones
+            .filter(|zone| *zone == self.member.zone || vacant(*zone))
+            .filter(|zone| self.is_in(*zone))
+            .collect()
+    }
+
     /// Handles an owned backend server that is not configured any more, or not in this instance's
     /// reach of owners.
     fn refresh_missing(&mut self, now: Time, id: BackendServerId, out: &mut Vec<Action>) {
