Measure an instance against a bare forwarder

The throughput of an instance had no figure of its own: the forwarder example only gives the bound. The forwarder and its load move into the stand-ins' library, so that both paths get the same datagrams in the same run.

--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod consumer;
 pub mod error;
 pub mod fabric;
+pub mod forwarder;
+pub mod load;
 pub mod peer;
 pub mod platform;
 mod platform_calls;
