--- a/daemon/tests/fleet/mod.rs
+++ b/daemon/tests/fleet/mod.rs
@@ -1,10 +1,13 @@
 //! A fleet of separate daemon processes between stand-ins.
 
+pub(crate) mod load;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{
     Child,
-    Command, //
+    Command,
+    ExitStatus, //
 };
 use std::time::{
     Duration,
@@ -32,6 +35,10 @@
     Caller,
     Fabric, //
 };
+use rustix::process::{
+    Pid,
+    Signal, //
+};
 
 pub(crate) const ZONES: [&str; 3] = ["nz-north-a", "nz-north-b", "nz-north-c"];
 pub(crate) const SERVICE: &str = "ticket-desk";
@@ -44,7 +51,29 @@
 pub(crate) struct Daemon {
     pub(crate) process: Child,
     pub(crate) callers: SocketAddr,
+    pub(crate) backend_servers: SocketAddr,
     pub(crate) operators: SocketAddr,
+    pub(crate) control: SocketAddr,
+    pub(crate) relay: SocketAddr,
+}
+
+impl Daemon {
+    /// Asks the process to shut down gracefully.
+    pub(crate) fn terminate(&self) {
+        rustix::process::kill_process(Pid::from_child(&self.process), Signal::TERM).unwrap();
+    }
+
+    /// Waits until the process has ended.
+    pub(crate) async fn ended(&mut self) -> ExitStatus {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.process.try_wait().unwrap() {
+                return status;
+            }
+            assert!(Instant::now() < deadline, "the daemon does not end");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
 }
 
 impl Drop for Daemon {
@@ -124,7 +153,10 @@
         Daemon {
             process,
             callers: address(4700),
+            backend_servers: address(4730),
             operators: address(4710),
+            control: address(4720),
+            relay: address(4721),
         }
     }
 
@@ -138,12 +170,7 @@
 
     /// Applies changes through any daemon.
     pub(crate) async fn apply(&mut self, changes: Vec<Change>) -> Revision {
-        self.operation += 1;
-        let call = ApplyChanges {
-            operation: OperationId(self.operation),
-            expected: None,
-            changes,
-        };
+        let call = self.call(changes);
         let deadline = Instant::now() + PATIENCE;
         loop {
             match self.client.apply(&call).await {
@@ -158,6 +185,42 @@
         }
     }
 
+    /// Returns a new operation.
+    pub(crate) fn call(&mut self, changes: Vec<Change>) -> ApplyChanges {
+        self.operation += 1;
+        ApplyChanges {
+            operation: OperationId(self.operation),
+            expected: None,
+            changes,
+        }
+    }
+
+    /// Starts one more backend server and returns the change that adds it to a zone's pool.
+    pub(crate) async fn add_server(&mut self, zone: usize) -> Change {
+        let n = self.servers.len();
+        let server = BackendServer::start(server_settings(n as u32))
+            .await
+            .unwrap();
+        let change = put_server(n, zone, &server);
+        self.servers.push(server);
+        change
+    }
+
+    /// Returns how many requests the backend servers started more than once.
+    pub(crate) async fn doubles(&self) -> usize {
+        let mut doubles = 0;
+        for server in &self.servers {
+            doubles += server.report().await.unwrap().doubles().count();
+        }
+        doubles
+    }
+
+    /// Sends packets of callers only to these daemons.
+    pub(crate) async fn spray(&self, daemons: &[usize]) {
+        let callers: Vec<_> = daemons.iter().map(|n| self.daemons[*n].callers).collect();
+        self.fabric.set_instances(&callers).await.unwrap();
+    }
+
     fn changes(&self) -> Vec<Change> {
         let mut changes = vec![Change::PutService {
             name: SERVICE.to_owned(),
@@ -176,15 +239,7 @@
             });
         }
         for (n, server) in self.servers.iter().enumerate() {
-            changes.push(Change::PutServer {
-                name: format!("server-{n}"),
-                pool: format!("pool-{}", ZONES[n % 3]),
-                address: server.address,
-                health: server.health,
-                weight: 100,
-                slots: 4,
-                connections: 2000,
-            });
+            changes.push(put_server(n, n % 3, server));
         }
         changes
     }
@@ -233,6 +288,18 @@
         .collect()
 }
 
+fn put_server(n: usize, zone: usize, server: &BackendServer) -> Change {
+    Change::PutServer {
+        name: format!("server-{n}"),
+        pool: format!("pool-{}", ZONES[zone]),
+        address: server.address,
+        health: server.health,
+        weight: 100,
+        slots: 4,
+        connections: 2000,
+    }
+}
+
 fn server_settings(n: u32) -> ServerSettings {
     ServerSettings {
         server: BackendServerId(n),
