--- a/decisions/src/contact.rs
+++ b/decisions/src/contact.rs
@@ -13,6 +13,12 @@
 /// How many contacts are tried at once when the only one goes silent.
 pub(crate) const MAX_CONTACTS: usize = 3;
 
+/// How long to wait for the members of a zone that comes back, before another contact is tried.
+const RETURN: Duration = Duration::from_secs(1);
+
+/// How many times the pause between pulls grows at most.
+const MAX_PAUSES: u32 = 8;
+
 /// The contacts of this instance in one zone.
 #[derive(Debug)]
 pub(crate) struct Contacts {
@@ -20,8 +26,10 @@
     pub(crate) zone: ZoneId,
     /// One while it answers, up to [`MAX_CONTACTS`] while none does.
     pub(crate) ids: SmallVec<[InstanceId; MAX_CONTACTS]>,
-    /// False from the failure of all contacts until a member of the zone is heard.
+    /// False from the failure of all contacts until the zone came back.
     pub(crate) reachable: bool,
+    /// Set from the first sign of life of an unreachable zone until its members are known.
+    pub(crate) returning: bool,
     /// When the next attempt on an unreachable zone is due.
     pub(crate) retry: Time,
     /// The time between attempts; rises up to its bound while the zone is unreachable.
@@ -30,6 +38,19 @@
     differs: Option<Time>,
     /// When the members were last pulled.
     pulled: Option<Time>,
+    /// How often the members were pulled since the digests were last equal.
+    pulls: u32,
+}
+
+/// What to do about digests that differ.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Remedy {
+    /// Nothing.
+    None,
+    /// Ask for the members.
+    Pull,
+    /// Ask for the members and send those that are known here.
+    Exchange,
 }
 
 impl Contacts {
@@ -38,10 +59,12 @@
             zone,
             ids: SmallVec::new(),
             reachable: true,
+            returning: false,
             retry: Time::ZERO,
             interval: Duration::ZERO,
             differs: None,
             pulled: None,
+            pulls: 0,
         }
     }
 
@@ -53,39 +76,59 @@
             (self.interval * 2).clamp(first, most)
         };
         self.reachable = false;
+        self.returning = false;
         self.retry = now + self.interval;
         self.ids.clear();
     }
 
-    /// Notes that a member of the zone was heard and returns whether the zone came back by that.
-    pub(crate) fn heard(&mut self) -> bool {
-        let back = !self.reachable;
-        self.reachable = true;
-        if back {
+    /// Notes that a member of the zone was heard. An unreachable zone begins to come back, and
+    /// counts as reachable after [`Contacts::settle`].
+    pub(crate) fn heard(&mut self, now: Time) {
+        if !self.reachable && !self.returning {
+            self.returning = true;
+            self.retry = now + RETURN;
             self.pulled = None;
+            self.pulls = 0;
         }
-        back
     }
 
-    /// Compares digests and returns whether the members have to be pulled: when they differ for
-    /// `settle`, which gossip needs to spread news, or at once on the first contact.
-    pub(crate) fn pull(
+    /// Notes that the members of a zone that comes back are known, and returns whether it was
+    /// coming back.
+    pub(crate) fn settle(&mut self) -> bool {
+        if !self.returning {
+            return false;
+        }
+        self.returning = false;
+        self.reachable = true;
+        true
+    }
+
+    /// Compares digests and returns what to do: nothing while they may differ because news is on
+    /// its way, except on the first contact. Repeated remedies become rarer, so that a zone that
+    /// never settles costs little.
+    pub(crate) fn compare(
         &mut self,
         now: Time,
         equal: bool,
         settle: Duration,
         pause: Duration,
-    ) -> bool {
+    ) -> Remedy {
         if equal {
             self.differs = None;
-            return false;
+            self.pulls = 0;
+            return Remedy::None;
         }
         let since = *self.differs.get_or_insert(now);
+        let pause = pause * self.pulls.clamp(1, MAX_PAUSES);
         let paused = self.pulled.is_some_and(|p| now.since(p) < pause);
         if paused || !(self.pulled.is_none() || now.since(since) >= settle) {
-            return false;
+            return Remedy::None;
         }
         self.pulled = Some(now);
-        true
+        self.pulls += 1;
+        match self.pulls {
+            1 => Remedy::Pull,
+            _ => Remedy::Exchange,
+        }
     }
 }
