Check the range of every setting and export the counts of the edges

Out-of-range durations and numbers were accepted but for six, and relay.listen was read but never used. The counts of sockets, links, prober and store had no metrics. The router's mailbox held 64 messages.

--- a/backend-servers/src/prober.rs
+++ b/backend-servers/src/prober.rs
@@ -22,7 +22,10 @@
     SeedableRng, //
 };
 use rand_pcg::Pcg32;
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use strum::EnumCount;
 use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
@@ -34,7 +37,7 @@
 };
 
 /// Settings of the polls.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ProberSettings {
     /// The time from one poll of a backend server to the next.
--- a/backend-servers/src/settings.rs
+++ b/backend-servers/src/settings.rs
@@ -6,10 +6,13 @@
 };
 
 use lovagespindle_datagram::socket::RECEIVE_BUFFER;
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 /// Settings of the socket towards backend servers.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// The local address. Its family is the family of all backend servers.
--- a/callers/src/settings.rs
+++ b/callers/src/settings.rs
@@ -6,10 +6,13 @@
 };
 
 use lovagespindle_datagram::socket::RECEIVE_BUFFER;
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 /// Settings of the socket towards callers.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// Where the fabric delivers packets.
--- a/daemon/src/edges.rs
+++ b/daemon/src/edges.rs
@@ -60,6 +60,7 @@
 use tokio::net::TcpListener;
 
 use crate::applier::Applier;
+use crate::figures::Sources;
 use crate::metrics::{
     MetricError,
     Metrics,
@@ -188,7 +189,15 @@
         let timeline = TimeLine::spawn(TimeLine::new(arguments.member.id, &settings.timeline));
         let name = &settings.instance.name;
         let zone = &settings.instance.zone;
-        let metrics = Metrics::new(&settings.metrics, name, zone)
+        let sources = Sources {
+            callers: callers.clone(),
+            backend_servers: backend_servers.clone(),
+            relay: relay.clone(),
+            links: links.clone(),
+            prober: prober.clone(),
+            store: store.clone(),
+        };
+        let metrics = Metrics::new(&settings.metrics, name, zone, sources)
             .map_err(|error| StartError::Metrics(Arc::new(error)))?;
         let metrics = Metrics::spawn(metrics);
         let operators = serve_operators(settings, router, &store, &timeline).await?;
@@ -349,9 +358,10 @@
             .collect()
     }
 
-    /// Passes a sample on to the metrics.
-    pub async fn record(&self, sample: Sample) {
-        let _ = self.metrics.tell(sample).await;
+    /// Passes a sample on to the metrics. A sample that finds no room is dropped; the next one
+    /// holds its counts too.
+    pub fn record(&self, sample: Sample) {
+        let _ = self.metrics.tell(sample).try_send();
     }
 }
 
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -3,6 +3,8 @@
 pub mod applier;
 pub mod command;
 pub mod edges;
+pub mod figures;
+pub mod limits;
 pub mod logging;
 pub mod metrics;
 pub mod occurrences;
--- /dev/null
+++ b/daemon/src/limits.rs
@@ -0,0 +1,157 @@
+//! The ranges that values of settings have to be in.
+
+use std::time::Duration;
+
+use crate::settings::Settings;
+
+/// The range of one setting, ends included.
+pub struct Limit {
+    /// The key, as in the file.
+    pub key: &'static str,
+    /// The value and its range.
+    pub range: Range,
+}
+
+/// A value of the settings and the range that it has to be in.
+pub enum Range {
+    /// A duration.
+    Time(fn(&Settings) -> Duration, Duration, Duration),
+    /// A number.
+    Count(fn(&Settings) -> u64, u64, u64),
+}
+
+impl Limit {
+    /// Returns the value in text if it is out of range.
+    pub fn violation(&self, settings: &Settings) -> Option<String> {
+        match self.range {
+            Range::Time(get, least, most) => {
+                let value = get(settings);
+                let good = (least..=most).contains(&value);
+                (!good).then(|| humantime::format_duration(value).to_string())
+            }
+            Range::Count(get, least, most) => {
+                let value = get(settings);
+                let good = (least..=most).contains(&value);
+                (!good).then(|| value.to_string())
+            }
+        }
+    }
+
+    /// Describes the range.
+    pub fn allowed(&self) -> String {
+        match self.range {
+            Range::Time(_, least, most) => {
+                let (least, most) = (text(least), text(most));
+                format!("{least} to {most}")
+            }
+            Range::Count(_, least, most) => format!("{least} to {most}"),
+        }
+    }
+}
+
+fn text(duration: Duration) -> String {
+    humantime::format_duration(duration).to_string()
+}
+
+const fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+const fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+const MINUTE: Duration = seconds(60);
+const TEN_MINUTES: Duration = seconds(600);
+const HOUR: Duration = seconds(3600);
+const DAY: Duration = seconds(86_400);
+
+/// A buffer below one datagram drops everything; the upper end is a plain guard against typos.
+const BUFFER: (u64, u64) = (4096, 1 << 30);
+
+macro_rules! limits {
+    ($($kind:ident $($field:ident).+: $least:expr, $most:expr;)*) => {
+        &[$(Limit {
+            key: limits!(@ key $($field).+),
+            range: limits!(@ $kind $($field).+, $least, $most),
+        },)*]
+    };
+    (@ key $first:ident $(. $rest:ident)*) => {
+        concat!(stringify!($first) $(, ".", stringify!($rest))*)
+    };
+    (@ time $($field:ident).+, $least:expr, $most:expr) => {
+        Range::Time(|settings| settings.$($field).+, $least, $most)
+    };
+    (@ count $($field:ident).+, $least:expr, $most:expr) => {
+        Range::Count(|settings| settings.$($field).+ as u64, $least, $most)
+    };
+}
+
+/// The ranges of all durations and numbers.
+#[allow(clippy::cast_lossless)] // the macro casts numbers of several widths
+pub const LIMITS: &[Limit] = limits! {
+    count callers.receive_buffer: BUFFER.0, BUFFER.1;
+    count backend_servers.receive_buffer: BUFFER.0, BUFFER.1;
+    time prober.period: millis(100), MINUTE;
+    time prober.jitter: millis(0), MINUTE;
+    time prober.timeout: millis(10), MINUTE;
+    time platform.call_timeout: millis(10), MINUTE;
+    count platform.write_attempts: 1, 100;
+    time platform.first_pause: millis(1), MINUTE;
+    time platform.longest_pause: millis(1), TEN_MINUTES;
+    count platform.lost_after: 1, 1000;
+    time platform.list_interval: millis(10), HOUR;
+    time platform.probe_interval: millis(100), HOUR;
+    time platform.probe_timeout: millis(10), MINUTE;
+    count platform.snapshot_every: 1, 10_000;
+    count platform.kept_changes: 1, 100_000;
+    count platform.part_bytes: 1000, 1_000_000;
+    time platform.writer_lease: seconds(1), HOUR;
+    count relay.receive_buffer: BUFFER.0, BUFFER.1;
+    time links.connect_timeout: millis(10), MINUTE;
+    time links.idle: seconds(1), HOUR;
+    time links.write_timeout: millis(10), MINUTE;
+    count links.queue: 1, 65_536;
+    count links.batch: 1, 65_536;
+    count links.accepted: 1, 1_000_000;
+    count timeline.entries: 1, 1_000_000;
+    count timeline.lag: 1, 1_000_000;
+    time metrics.period: seconds(1), HOUR;
+    time decisions.membership.heartbeat: millis(10), MINUTE;
+    time decisions.membership.link_timeout: millis(10), MINUTE;
+    time decisions.membership.failure_timeout: millis(10), MINUTE;
+    count decisions.membership.ring_neighbours: 1, 16;
+    count decisions.membership.indirect_probes: 1, 16;
+    count decisions.membership.updates: 1, 6;
+    time decisions.membership.contact_heartbeat: millis(10), MINUTE;
+    time decisions.membership.contact_retry: millis(10), TEN_MINUTES;
+    time decisions.membership.neighbour_change: millis(100), HOUR;
+    time decisions.membership.hint_retry: millis(10), TEN_MINUTES;
+    time decisions.membership.settle: millis(10), MINUTE;
+    time decisions.membership.pull_pause: millis(10), TEN_MINUTES;
+    time decisions.membership.keep_dead: seconds(1), DAY;
+    time decisions.ownership.fence: millis(10), MINUTE;
+    time decisions.ownership.takeover: millis(10), MINUTE;
+    time decisions.ownership.memory: seconds(1), HOUR;
+    count decisions.admission.queue: 0, 100;
+    time decisions.admission.patience: millis(1), TEN_MINUTES;
+    time decisions.admission.freshness: millis(10), TEN_MINUTES;
+    count decisions.admission.failures: 1, 1000;
+    time decisions.admission.silence: millis(100), TEN_MINUTES;
+    time decisions.warmup.step: millis(0), TEN_MINUTES;
+    count decisions.warmup.slowness: 1, 1000;
+    count decisions.retry.percent: 0, 100;
+    count decisions.retry.minimum: 0, 1000;
+    time decisions.hosting.grace: millis(1), MINUTE;
+    time decisions.hosting.stall: seconds(1), DAY;
+    time decisions.hosting.repeat: millis(1), MINUTE;
+    count decisions.hosting.unanswered: 1, 65_535;
+    time decisions.hosting.silence: millis(100), TEN_MINUTES;
+    time decisions.hosting.unconfirmed: millis(100), TEN_MINUTES;
+    time decisions.hosting.linger: millis(0), TEN_MINUTES;
+    time decisions.hosting.shutdown: millis(0), DAY;
+    time decisions.spread.poll: seconds(1), HOUR;
+    time decisions.spread.list: seconds(1), HOUR;
+    time decisions.spread.pull: millis(10), MINUTE;
+    time decisions.spread.patience: millis(10), TEN_MINUTES;
+};
--- a/daemon/src/logging.rs
+++ b/daemon/src/logging.rs
@@ -17,10 +17,13 @@
 use log4rs::encode::Encode;
 use log4rs::encode::json::JsonEncoder;
 use log4rs::encode::pattern::PatternEncoder;
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 /// Settings of logs.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LogSettings {
     /// The least level that is written: `off`, `error`, `warn`, `info`, `debug` or `trace`.
@@ -42,7 +45,7 @@
 }
 
 /// How lines are written.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, strum::Display)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, Eq, PartialEq, strum::Display)]
 #[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
 pub enum LogFormat {
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -2,6 +2,10 @@
 
 use std::time::Duration;
 
+use crate::figures::{
+    Rises,
+    Sources, //
+};
 use kameo::Actor;
 use kameo::message::{
     Context,
@@ -23,11 +27,14 @@
     PeriodicReader,
     SdkMeterProvider, //
 };
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use strum::IntoEnumIterator;
 
 /// Settings of metrics.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct MetricSettings {
     /// Where metrics are exported to by OTLP over gRPC; nowhere if not set.
@@ -84,12 +91,20 @@
     requests: Gauge<u64>,
     owned: Gauge<u64>,
     revision: Gauge<u64>,
+    polled: Gauge<u64>,
     last: Counters,
+    sources: Sources,
+    edges: Rises,
 }
 
 impl Metrics {
     /// Sets metrics up for the instance of that name and zone.
-    pub fn new(settings: &MetricSettings, name: &str, zone: &str) -> Result<Metrics, MetricError> {
+    pub fn new(
+        settings: &MetricSettings,
+        name: &str,
+        zone: &str,
+        sources: Sources,
+    ) -> Result<Metrics, MetricError> {
         let resource = Resource::builder()
             .with_service_name("lovagespindle")
             .with_attribute(KeyValue::new("service.instance.id", name.to_owned()))
@@ -111,10 +126,10 @@
             builder = builder.with_reader(reader);
         }
         let provider = builder.build();
-        Ok(Metrics::with_provider(provider))
+        Ok(Metrics::with_provider(provider, sources))
     }
 
-    fn with_provider(provider: SdkMeterProvider) -> Metrics {
+    fn with_provider(provider: SdkMeterProvider, sources: Sources) -> Metrics {
         let meter = provider.meter("lovagespindle");
         Metrics {
             counters: Counter::iter().map(|c| (c, counter(&meter, c))).collect(),
@@ -122,7 +137,10 @@
             requests: gauge(&meter, "requests"),
             owned: gauge(&meter, "owned_backend_servers"),
             revision: gauge(&meter, "configuration_revision"),
+            polled: gauge(&meter, "polled_backend_servers"),
             last: Counters::default(),
+            sources,
+            edges: Rises::new(meter),
             provider,
         }
     }
@@ -159,6 +177,10 @@
 
     async fn handle(&mut self, sample: Sample, _context: &mut Context<Self, ()>) {
         self.record(sample);
+        // The actors at the edges may be slow to answer; only this actor waits for them.
+        let counts = self.sources.read().await;
+        self.polled.record(counts.polled, &[]);
+        self.edges.record(&counts.figures);
     }
 }
 
--- a/daemon/src/router.rs
+++ b/daemon/src/router.rs
@@ -84,7 +84,7 @@
         }
     }
 
-    async fn sample(&mut self) {
+    fn sample(&mut self) {
         let now = self.clock.now();
         if now < self.next_sample {
             return;
@@ -98,7 +98,7 @@
             owned: status.owned.len() as u64,
             revision: status.revision.0,
         };
-        self.edges.record(sample).await;
+        self.edges.record(sample);
     }
 
     fn wake(&self) -> Time {
@@ -139,7 +139,7 @@
                 signal = mailbox.recv() => return Ok(signal),
                 () = tokio::time::sleep_until(wake) => {
                     self.handle_all([Event::Tick]).await;
-                    self.sample().await;
+                    self.sample();
                 }
             }
         }
@@ -161,7 +161,7 @@
     async fn tick_if_due(&mut self) {
         if self.clock.now() >= self.wake() {
             self.handle_all([Event::Tick]).await;
-            self.sample().await;
+            self.sample();
         }
     }
 }
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -10,6 +10,7 @@
     Spawn, //
 };
 use kameo::error::HookError;
+use kameo::mailbox;
 use lovagespindle_datagram::Clock;
 use lovagespindle_decisions::Event;
 use lovagespindle_decisions::ids::{
@@ -29,6 +30,11 @@
 };
 use crate::settings::Settings;
 
+/// How many messages wait for the router. Sockets drop packets beyond that. At 20,000 packets a
+/// second that arrive one by one, kameo's default of 64 lasts for 3 ms, less than one pause of the
+/// scheduler; these last for 50 ms, after which callers are better served by their retries.
+const MAILBOX: usize = 1024;
+
 /// Why a run failed.
 #[derive(Debug, thiserror::Error)]
 pub enum RunError {
@@ -54,12 +60,13 @@
         control: settings.instance.control,
         relay: settings.instance.relay,
     };
-    let router = Router::spawn(Arguments {
+    let arguments = Arguments {
         settings,
         member,
         clock: Clock::start(),
         seed: random(),
-    });
+    };
+    let router = Router::spawn_with_mailbox(arguments, mailbox::bounded(MAILBOX));
     match router.wait_for_startup_result().await {
         Ok(()) => Ok(router),
         Err(HookError::Error(error)) => Err(error),
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -5,7 +5,6 @@
     Path,
     PathBuf, //
 };
-use std::time::Duration;
 
 use lovagespindle_backend_servers as backend_servers;
 use lovagespindle_callers as callers;
@@ -14,13 +13,17 @@
 use lovagespindle_instances::relay::RelaySettings;
 use lovagespindle_operators::timeline;
 use lovagespindle_platform as platform;
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
+use crate::limits::LIMITS;
 use crate::logging::LogSettings;
 use crate::metrics::MetricSettings;
 
 /// Settings of the daemon.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Who the instance is and where others reach it.
@@ -61,7 +64,7 @@
 }
 
 /// Who the instance is and where others reach it.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct InstanceSettings {
     /// Shown to operators.
@@ -75,7 +78,7 @@
 }
 
 /// The operators' remote procedure calls.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct OperatorSettings {
     /// Where they are served (TCP).
@@ -119,7 +122,7 @@
         /// The value.
         value: String,
         /// What is allowed.
-        allowed: &'static str,
+        allowed: String,
     },
 }
 
@@ -144,7 +147,7 @@
     }
 
     fn check(&self, path: &Path) -> Result<(), SettingsError> {
-        let range = |key, value: String, allowed| SettingsError::Range {
+        let range = |key, value: String, allowed: String| SettingsError::Range {
             path: path.to_owned(),
             key,
             value,
@@ -155,70 +158,66 @@
             ("instance.zone", &self.instance.zone),
         ] {
             if !is_name(name) {
-                let allowed = "1 to 63 characters of a-z, 0-9, '-' and '.'";
-                return Err(range(key, format!("{name:?}"), allowed));
+                return Err(range(key, format!("{name:?}"), NAMES.to_owned()));
             }
         }
-        for (key, value, least) in self.durations() {
-            if value < least {
-                return Err(range(key, format!("{value:?}"), at_least(least)));
+        for limit in LIMITS {
+            if let Some(value) = limit.violation(self) {
+                return Err(range(limit.key, value, limit.allowed()));
             }
         }
-        let ownership = &self.decisions.ownership;
-        if ownership.fence >= ownership.takeover {
-            let allowed = "shorter than decisions.ownership.takeover";
-            let value = format!("{:?}", ownership.fence);
-            return Err(range("decisions.ownership.fence", value, allowed));
-        }
-        if self.decisions.membership.failure_timeout < ownership.takeover {
-            let allowed = "at least decisions.ownership.takeover";
-            let value = format!("{:?}", self.decisions.membership.failure_timeout);
-            let key = "decisions.membership.failure_timeout";
-            return Err(range(key, value, allowed));
+        for (key, value, good, allowed) in self.relations() {
+            if !good {
+                return Err(range(key, value, allowed.to_owned()));
+            }
         }
         Ok(())
     }
 
-    /// Returns durations that must not be too short, with their keys and least values.
-    fn durations(&self) -> [(&'static str, Duration, Duration); 6] {
-        let decisions = &self.decisions;
+    /// Returns the keys whose values depend on others, with the value, whether it is good, and
+    /// what is allowed.
+    fn relations(&self) -> [(&'static str, String, bool, &'static str); 5] {
+        let time = |duration| humantime::format_duration(duration).to_string();
+        let ownership = &self.decisions.ownership;
+        let failure = self.decisions.membership.failure_timeout;
+        let platform = &self.platform;
         [
             (
-                "decisions.membership.heartbeat",
-                decisions.membership.heartbeat,
-                TEN_MILLIS,
+                "decisions.ownership.fence",
+                time(ownership.fence),
+                ownership.fence < ownership.takeover,
+                "shorter than decisions.ownership.takeover",
+            ),
+            (
+                "decisions.membership.failure_timeout",
+                time(failure),
+                failure >= ownership.takeover,
+                "at least decisions.ownership.takeover",
             ),
             (
-                "decisions.membership.link_timeout",
-                decisions.membership.link_timeout,
-                TEN_MILLIS,
+                "prober.jitter",
+                time(self.prober.jitter),
+                self.prober.jitter < self.prober.period,
+                "shorter than prober.period",
             ),
             (
-                "decisions.ownership.fence",
-                decisions.ownership.fence,
-                TEN_MILLIS,
+                "platform.longest_pause",
+                time(platform.longest_pause),
+                platform.longest_pause >= platform.first_pause,
+                "at least platform.first_pause",
             ),
             (
-                "decisions.ownership.memory",
-                decisions.ownership.memory,
-                ONE_SECOND,
+                "links.queue",
+                self.links.queue.to_string(),
+                self.links.queue.is_power_of_two(),
+                "a power of two",
             ),
-            ("decisions.spread.poll", decisions.spread.poll, ONE_SECOND),
-            ("metrics.period", self.metrics.period, ONE_SECOND),
         ]
     }
 }
 
-const TEN_MILLIS: Duration = Duration::from_millis(10);
-const ONE_SECOND: Duration = Duration::from_secs(1);
-
-fn at_least(least: Duration) -> &'static str {
-    if least == TEN_MILLIS {
-        "at least 10ms"
-    } else {
-        "at least 1s"
-    }
-}
+/// What is allowed as the name of an instance or a zone.
+const NAMES: &str = "1 to 63 characters of a-z, 0-9, '-' and '.'";
 
 fn is_name(name: &str) -> bool {
     let allowed = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-' || b == b'.';
--- a/decisions/src/instance.rs
+++ b/decisions/src/instance.rs
@@ -5,7 +5,10 @@
 use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
 use rustc_hash::FxHashMap;
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use smallvec::SmallVec;
 
 use crate::action::Action;
@@ -71,7 +74,7 @@
 use crate::warmup::WarmupSettings;
 
 /// Settings of the decisions.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// Heartbeats and failure detection.
--- a/decisions/src/membership.rs
+++ b/decisions/src/membership.rs
@@ -8,7 +8,10 @@
 
 use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 use crate::action::Action;
 use crate::answering::send;
@@ -35,7 +38,7 @@
 use crate::time::Time;
 
 /// Settings of the membership.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct MembershipSettings {
     /// The time between heartbeats inside the zone.
--- a/decisions/src/ownership.rs
+++ b/decisions/src/ownership.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use smallvec::SmallVec;
 
 use crate::action::Action;
@@ -24,7 +27,7 @@
 use crate::warmup::Warmup;
 
 /// Settings of ownership.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct OwnershipSettings {
     /// How long after sending a heartbeat its acknowledgement by the successor lets an owner admit.
--- a/decisions/src/retry_budget.rs
+++ b/decisions/src/retry_budget.rs
@@ -3,12 +3,15 @@
 
 use std::time::Duration;
 
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 use crate::time::Time;
 
 /// Settings of the retry budgets.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RetrySettings {
     /// Retries for each hundred fresh requests.
--- a/decisions/src/servers.rs
+++ b/decisions/src/servers.rs
@@ -4,7 +4,10 @@
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use slotmap::SlotMap;
 use smallvec::SmallVec;
 
@@ -32,7 +35,7 @@
 }
 
 /// Settings of admission to a backend server.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct AdmissionSettings {
     /// Queued requests for each request that may run.
--- a/decisions/src/spread.rs
+++ b/decisions/src/spread.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use rand_core::RngCore;
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 use crate::action::Action;
 use crate::config::{
@@ -32,7 +35,7 @@
 use crate::time::Time;
 
 /// Settings of the spreading of configurations.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct SpreadSettings {
     /// The mean time between polls of the store, the last resort.
--- a/decisions/src/upkeep.rs
+++ b/decisions/src/upkeep.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 use crate::action::Action;
 use crate::event::{
@@ -26,7 +29,7 @@
 use crate::time::Time;
 
 /// Settings of flows and requests that are served here.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct HostingSettings {
     /// How long a cancelled request may keep its slot.
--- a/decisions/src/warmup.rs
+++ b/decisions/src/warmup.rs
@@ -2,12 +2,15 @@
 
 use std::time::Duration;
 
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 use crate::time::Time;
 
 /// Settings of the warm-up limit.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct WarmupSettings {
     /// The least time between two rises of the limit.
--- a/instances/src/links.rs
+++ b/instances/src/links.rs
@@ -22,7 +22,10 @@
 use lovagespindle_decisions::ids::InstanceId;
 use lovagespindle_decisions::peer::PeerMessage;
 use rustc_hash::FxHashMap;
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use slotmap::{
     SlotMap,
     new_key_type, //
@@ -46,7 +49,7 @@
 use crate::outgoing::Outgoing;
 
 /// Settings of the links.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LinkSettings {
     /// How long opening a link may take, and how long an accepted link may take to say hello.
--- a/instances/src/relay.rs
+++ b/instances/src/relay.rs
@@ -40,13 +40,17 @@
     Event,
     Time, //
 };
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 /// Settings of the relay socket.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RelaySettings {
-    /// Where other instances send packets.
+    /// Where other instances send packets. Given by the instance's own address, not by a key.
+    #[serde(skip)]
     pub listen: SocketAddr,
     /// How many bytes the operating system queues.
     pub receive_buffer: usize,
--- a/operators/src/timeline.rs
+++ b/operators/src/timeline.rs
@@ -11,7 +11,10 @@
 };
 use lovagespindle_decisions::ids::InstanceId;
 use lovagespindle_decisions::occurrence::Occurrence;
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use tokio::sync::broadcast;
 use uhlc::{
     HLC,
@@ -29,7 +32,7 @@
 };
 
 /// Settings of the time line.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// How many entries are kept; at least 1.
