--- a/datagram/src/decode.rs
+++ b/datagram/src/decode.rs
@@ -29,6 +29,7 @@
 use crate::error::DecodeError;
 use crate::field::{
     CUSTOM,
+    DOUBT,
     Field,
     MAX_DATAGRAM, //
 };
@@ -252,6 +253,8 @@
 
 fn relay(value: &[u8]) -> Result<Relay, DecodeError> {
     let [purpose, hops, candidate, table, a, b, c, d] = exact(Field::Relay, value)?;
+    let doubt = purpose & DOUBT != 0;
+    let purpose = purpose & !DOUBT;
     let purpose = Purpose::from_repr(purpose).ok_or(DecodeError::UnknownPurpose(purpose))?;
     if hops > MAX_HOPS {
         return Err(DecodeError::Hops(hops));
@@ -262,5 +265,6 @@
         candidate,
         table,
         backend_server: BackendServerId(u32::from_be_bytes([a, b, c, d])),
+        doubt,
     })
 }
--- a/datagram/src/encode.rs
+++ b/datagram/src/encode.rs
@@ -16,7 +16,10 @@
 };
 
 use crate::error::EncodeError;
-use crate::field::Field;
+use crate::field::{
+    DOUBT,
+    Field, //
+};
 
 /// Encodes a packet at `now` into `out`, whose contents are replaced.
 pub fn encode(
@@ -82,8 +85,9 @@
 
 fn relay_bytes(relay: &Relay) -> [u8; 8] {
     let [a, b, c, d] = relay.backend_server.0.to_be_bytes();
+    let doubt = if relay.doubt { DOUBT } else { 0 };
     [
-        relay.purpose as u8,
+        relay.purpose as u8 | doubt,
         relay.hops,
         relay.candidate,
         relay.table,
--- a/datagram/src/field.rs
+++ b/datagram/src/field.rs
@@ -19,12 +19,16 @@
     Deadline = 0xe4,
     /// The index of the answer part, 4 bytes, and whether it is the last, 1 byte.
     Part = 0xe5,
-    /// Hops, candidate and table, 1 byte each, and the backend server, 4 bytes.
+    /// The purpose, with [`DOUBT`] set where an earlier attempt may have run, hops, candidate and
+    /// table, 1 byte each, and the backend server, 4 bytes.
     Relay = 0xe6,
     /// The reason, 1 byte.
     Reason = 0xe7,
 }
 
+/// The bit of the purpose that tells that an earlier attempt may have run.
+pub(crate) const DOUBT: u8 = 0x80;
+
 /// The types that the PROXY protocol leaves to applications. One of them that is not a [`Field`]
 /// is an error, because ignoring it could change what the packet means; types outside this range
 /// are ignored, as the protocol demands.
--- a/decisions/src/answers.rs
+++ b/decisions/src/answers.rs
@@ -23,6 +23,7 @@
     Request,
     RequestKey, //
 };
+use crate::tables::Ranking;
 use crate::time::Time;
 
 impl Instance {
@@ -85,6 +86,7 @@
                     candidate: 0,
                     table: 0,
                     backend_server: id,
+                    doubt: false,
                 };
                 self.pass_on(owner, relay, packet, out);
             }
@@ -103,13 +105,20 @@
             flow.seen = now;
             flow.asked = None;
             flow.unanswered = 0;
-            flow.opened = true;
+            // A refusal or reset does not show that the backend server knows the flow.
+            if packet.kind == PacketKind::Answer {
+                flow.opened = true;
+                flow.adopted = false;
+            }
             return Some(key);
         }
         let acquired = self.servers.get(id)?.acquired;
         if now.since(acquired) >= self.settings.ownership.memory {
             return None;
         }
+        if packet.kind != PacketKind::Answer {
+            return None;
+        }
         self.counters.add(Counter::Adopted);
         let place = Place::Hosted(id);
         let mut flow = Flow::new(packet.flow, packet.service, place, packet.route, now);
@@ -150,15 +159,20 @@
         }
     }
 
-    /// Handles an answer to a request without a record: after a takeover it belongs to a request
-    /// of the former owner, else it is late.
+    /// Handles an answer to a request without a record: it belongs to a finished request or, after
+    /// a takeover, to one of the former owner; else it is late.
     fn pass_unmatched(&mut self, now: Time, flow: FlowKey, packet: Packet, out: &mut Vec<Action>) {
-        let server = match self.flows.get(flow).map(|flow| flow.place) {
-            Some(Place::Hosted(id)) => self.servers.get(id),
+        let Some(record) = self.flows.get(flow) else {
+            return;
+        };
+        let server = match record.place {
+            Place::Hosted(id) => self.servers.get(id),
             _ => None,
         };
         let memory = self.settings.ownership.memory;
-        if server.is_some_and(|server| now.since(server.acquired) < memory) {
+        let recent = server.is_some_and(|server| now.since(server.acquired) < memory);
+        // Parts that were lost on the way may be sent again after the last one.
+        if recent || record.has_finished(packet.request) {
             self.send_caller(packet, out);
         } else {
             self.counters.add(Counter::StrayAnswers);
@@ -178,7 +192,7 @@
             return;
         };
         if let Some(server) = self.servers.get_mut(id) {
-            server.warmup.shed(now);
+            server.warmup.shed();
         }
         let Some(mut request) = self.requests.get(key).cloned() else {
             return;
@@ -192,12 +206,32 @@
         if matches!(request.progress, Progress::Cancelling { .. }) {
             return;
         }
-        if request.sends > 0 {
-            // An earlier copy of it may have run.
-            self.uncertain(&packet, Reason::Shed, out);
-        } else if !self.retry(now, flow, request, out) {
-            self.counters.add(Counter::Refusals);
-            self.send_caller(packet, out);
+        let attempt = request.attempt;
+        let doubt = request.sends > 0;
+        // An adopted flow that its backend server does not know lives elsewhere. The caller may try
+        // a request again that must not run twice, once the flow's owner is found.
+        let misplaced = packet.reason == Some(Reason::UnknownFlow)
+            && self.flows.get(flow).is_some_and(|f| f.adopted);
+        // A repeated attempt may be running elsewhere once its caller has waited for a while.
+        let waited = now.since(request.received) >= self.settings.hosting.repeat;
+        let repeatable = request.idempotent || !(doubt || misplaced && waited);
+        if repeatable && self.retry(now, flow, request, out) {
+            return;
+        }
+        let reason = match packet.reason {
+            Some(Reason::UnknownFlow) | None => Reason::Shed,
+            Some(reason) => reason,
+        };
+        let request = packet.request;
+        if let Some(flow) = self.flows.get_mut(flow)
+            && !doubt
+        {
+            flow.remember_refusal(request, attempt);
+        }
+        let packet = Packet { attempt, ..packet };
+        self.refuse(&packet, doubt, reason, out);
+        if misplaced {
+            self.forget(flow, id);
         }
     }
 
@@ -210,9 +244,15 @@
         request: Request,
         out: &mut Vec<Action>,
     ) -> bool {
+        let doubt = request.sends > 0;
         let Some(packet) = request.packet else {
             return false;
         };
+        let packet = Packet {
+            attempt: request.attempt,
+            deadline: request.deadline,
+            ..packet
+        };
         if request.deadline.is_some_and(|deadline| deadline <= now) {
             return false;
         }
@@ -236,32 +276,41 @@
             return false;
         }
         self.counters.add(Counter::Retries);
-        self.move_flow(now, flow, packet, next as u8, ranking, out);
+        let relay = Relay {
+            purpose: Purpose::Place,
+            hops: 0,
+            candidate: next as u8,
+            table: 0,
+            backend_server: ranking[next].backend_server,
+            doubt,
+        };
+        self.move_flow(now, flow, relay, ranking, packet, out);
         true
     }
 
+    /// Places a flow on a later candidate, named by `relay`.
     fn move_flow(
         &mut self,
         now: Time,
         flow: FlowKey,
+        relay: Relay,
+        ranking: Ranking,
         packet: Packet,
-        next: u8,
-        ranking: crate::tables::Ranking,
         out: &mut Vec<Action>,
     ) {
         self.leave_server(now, flow, out);
-        let candidate = ranking[usize::from(next)];
-        self.note_redirect(now, candidate.backend_server, &packet);
-        let relay = Relay {
-            purpose: Purpose::Place,
-            hops: 0,
-            candidate: next,
-            table: 0,
-            backend_server: candidate.backend_server,
-        };
+        self.note_redirect(now, relay.backend_server, relay.candidate, &packet);
         self.place(now, relay, ranking, packet, out);
     }
 
+    /// Removes the record of a flow that is not at this backend server, unless it has moved on.
+    fn forget(&mut self, flow: FlowKey, id: BackendServerId) {
+        let here = self.flows.get(flow).map(|f| f.place) == Some(Place::Hosted(id));
+        if here {
+            self.remove_flow(flow);
+        }
+    }
+
     fn on_unknown(&mut self, now: Time, flow: FlowKey, packet: Packet, out: &mut Vec<Action>) {
         let Some(key) = self.find_request(flow, &packet) else {
             self.pass_unmatched(now, flow, packet, out);
@@ -277,6 +326,12 @@
 
     fn on_reset(&mut self, now: Time, flow: FlowKey, packet: Packet, out: &mut Vec<Action>) {
         let reason = packet.reason.unwrap_or(Reason::ServerFailed);
+        let adopted = self.flows.get(flow).is_some_and(|f| f.adopted);
+        if adopted && reason == Reason::UnknownFlow {
+            // The flow lives elsewhere; its next packet looks for it again.
+            self.remove_flow(flow);
+            return;
+        }
         self.close_flow(now, flow, reason, out);
     }
 }
--- a/decisions/src/flows.rs
+++ b/decisions/src/flows.rs
@@ -20,6 +20,7 @@
     Reason,
     Route, //
 };
+use crate::rendezvous::mix;
 use crate::requests::RequestKey;
 use crate::time::Time;
 
@@ -34,13 +35,37 @@
     /// On a backend server that this instance owns.
     Hosted(BackendServerId),
     /// On a backend server whose owner, if it is another instance, gets the packets.
-    Redirected(BackendServerId),
+    Redirected {
+        /// The backend server.
+        backend_server: BackendServerId,
+        /// Its position in the candidate list. Packets follow redirects only to higher positions,
+        /// so that redirects of different ages can't form a loop.
+        position: u8,
+    },
     /// Nowhere any more. Kept so that late packets get the same outcome.
     Closed(Reason),
 }
 
-/// How many finished non-idempotent requests of a flow are remembered.
-const FINISHED: usize = 2;
+/// The position of a backend server that is known without the candidate list. Higher than all
+/// positions in a list.
+pub const DIRECT: u8 = 4;
+
+/// How many finished requests of a flow are remembered.
+pub const FINISHED: usize = 4;
+
+/// A finished request: 31 bits of its identifier's hash and whether it was idempotent. Two requests
+/// of a flow that share a tag are taken for the same, so that a request is refused rather than run
+/// twice.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+struct Finished(u32);
+
+impl Finished {
+    fn new(request: RequestId, idempotent: bool) -> Finished {
+        // The one keeps used tags apart from empty ones.
+        let tag = (mix(request.0, FINISHED as u64) as u32 >> 2) | 1 << 30;
+        Finished(tag << 1 | u32::from(idempotent))
+    }
+}
 
 /// A flow record.
 #[derive(Clone, Debug)]
@@ -65,8 +90,13 @@
     pub opened: bool,
     /// Its requests in progress, as a list through [`crate::requests::Request::next`].
     pub requests: Option<RequestKey>,
-    /// The latest finished non-idempotent requests.
-    pub finished: [Option<RequestId>; FINISHED],
+    /// Whether the flow was taken over without a record and its backend server has not confirmed it.
+    pub adopted: bool,
+    /// The tag and attempt of the request that was refused last. It did not run, so that its next
+    /// attempt is as good as a first one.
+    refused: (Finished, u8),
+    /// The latest finished requests, newest first.
+    finished: [Finished; FINISHED],
 }
 
 impl Flow {
@@ -83,19 +113,48 @@
             unanswered: 0,
             opened: false,
             requests: None,
-            finished: [None; FINISHED],
+            adopted: false,
+            refused: (Finished::default(), 0),
+            finished: [Finished::default(); FINISHED],
         }
     }
 
-    /// Remembers a finished non-idempotent request in place of the oldest one.
-    pub fn remember(&mut self, request: RequestId) {
+    /// Remembers a finished request in place of the oldest one.
+    pub fn remember(&mut self, request: RequestId, idempotent: bool) {
         self.finished.rotate_right(1);
-        self.finished[0] = Some(request);
+        self.finished[0] = Finished::new(request, idempotent);
+    }
+
+    /// Remembers that an attempt of a request did not run.
+    pub fn remember_refusal(&mut self, request: RequestId, attempt: u8) {
+        self.refused = (Finished::new(request, false), attempt);
+    }
+
+    /// Returns whether an earlier attempt of a request may have run without a record here.
+    pub fn doubts(&self, request: RequestId, attempt: u8) -> bool {
+        let (tag, refused) = self.refused;
+        let follows = tag == Finished::new(request, false) && attempt == refused.wrapping_add(1);
+        attempt > 0 && !follows
+    }
+
+    /// Returns what is remembered of finished requests, for the next owner.
+    pub fn finished_tags(&self) -> [u32; FINISHED] {
+        self.finished.map(|finished| finished.0)
+    }
+
+    /// Takes over what a former owner remembered of finished requests.
+    pub fn set_finished_tags(&mut self, tags: [u32; FINISHED]) {
+        self.finished = tags.map(Finished);
+    }
+
+    /// Returns whether a request is remembered as finished that must not run again.
+    pub fn has_run(&self, request: RequestId) -> bool {
+        self.finished.contains(&Finished::new(request, false))
     }
 
-    /// Returns whether a non-idempotent request is remembered as finished.
+    /// Returns whether a request is remembered as finished.
     pub fn has_finished(&self, request: RequestId) -> bool {
-        self.finished.contains(&Some(request))
+        self.has_run(request) || self.finished.contains(&Finished::new(request, true))
     }
 }
 
--- a/decisions/src/handover.rs
+++ b/decisions/src/handover.rs
@@ -5,6 +5,7 @@
 use crate::action::Action;
 use crate::counter::Counter;
 use crate::flows::{
+    DIRECT,
     Flow,
     FlowKey,
     Place, //
@@ -126,6 +127,7 @@
             },
             backend_server,
             requests,
+            finished: flow.finished_tags(),
         })
     }
 
@@ -148,6 +150,7 @@
                 candidate: request.candidate,
                 table: 0,
                 backend_server: id,
+                doubt: request.sends > 0,
             };
             self.pass_on(owner, relay, packet, out);
         }
@@ -172,7 +175,7 @@
         match self.servers.get_mut(id) {
             Some(server) => {
                 server.phase = Phase::Active;
-                server.warmup.resume(limit, server.slots, now);
+                server.warmup.resume(limit, server.slots);
                 self.drain_queue(now, id, out);
             }
             // The configuration that names it has not arrived here yet.
@@ -187,6 +190,7 @@
         let place = Place::Hosted(id);
         let mut flow = Flow::new(state.flow, state.service, place, state.route, now);
         flow.opened = true;
+        flow.set_finished_tags(state.finished);
         let key = self.insert_flow(flow);
         for request in &state.requests {
             self.take_request(now, key, id, *request);
@@ -211,7 +215,9 @@
             progress: Progress::Running,
             idempotent: state.idempotent,
             deadline,
+            attempt: 0,
             sends: 1,
+            received: now,
             sent: now,
             parts: 1,
             candidate: 0,
@@ -282,7 +288,10 @@
                 address,
                 unique: 0,
             };
-            let place = Place::Redirected(exception.backend_server);
+            let place = Place::Redirected {
+                backend_server: exception.backend_server,
+                position: DIRECT,
+            };
             let mut flow = Flow::new(exception.flow, exception.service, place, route, now);
             flow.opened = true;
             self.insert_flow(flow);
--- a/decisions/src/hosting.rs
+++ b/decisions/src/hosting.rs
@@ -55,14 +55,20 @@
         let Some(flow) = self.flows.get(key) else {
             return;
         };
-        if flow.has_finished(packet.request) {
+        if flow.has_run(packet.request) {
             // It ran once; the answer that was lost is not kept.
             self.uncertain(&packet, Reason::Repeated, out);
             return;
         }
-        match self.requests.find(flow.requests, packet.request) {
-            Some(request) => self.on_repeat(now, request, packet, out),
-            None => self.start_request(now, key, 0, packet, out),
+        if let Some(request) = self.requests.find(flow.requests, packet.request) {
+            self.on_repeat(now, request, packet, out);
+            return;
+        }
+        let doubt = flow.doubts(packet.request, packet.attempt);
+        if doubt && !packet.idempotent {
+            self.uncertain(&packet, Reason::OwnerChanged, out);
+        } else {
+            self.start_request(now, key, 0, doubt, packet, out);
         }
     }
 
@@ -77,7 +83,10 @@
         if request.progress == Progress::Running && request.idempotent && unseen {
             // The packet or its answer may have been lost on the way.
             request.deadline = packet.deadline;
+            request.attempt = packet.attempt;
             self.send_request(now, key, out);
+        } else {
+            request.attempt = packet.attempt;
         }
     }
 
@@ -88,6 +97,7 @@
         now: Time,
         key: FlowKey,
         candidate: u8,
+        doubt: bool,
         packet: Packet,
         out: &mut Vec<Action>,
     ) {
@@ -95,7 +105,7 @@
             return;
         };
         if packet.deadline.is_some_and(|deadline| deadline <= now) {
-            self.refuse(&packet, Reason::Deadline, out);
+            self.refuse(&packet, doubt, Reason::Deadline, out);
             return;
         }
         let leased = self.check_lease(now, id, out);
@@ -107,22 +117,33 @@
         let first = server.queue.is_empty();
         match verdict {
             Verdict::Run if first => {
-                let request = self.insert_request(now, key, id, candidate, packet);
+                let request = self.insert_request(now, key, id, candidate, doubt, packet);
                 self.send_request(now, request, out);
             }
-            Verdict::Closed => self.rehome(now, key, packet, out),
-            _ if room => self.queue_request(now, key, id, candidate, packet),
-            _ => self.refuse(&packet, Reason::Overload, out),
+            Verdict::Run | Verdict::Busy if room => {
+                self.queue_request(now, key, id, candidate, doubt, packet);
+            }
+            _ => self.rehome(now, key, doubt, packet, out),
         }
     }
 
     /// Moves a flow without requests in progress to another backend server, because its own takes
-    /// no new work.
-    fn rehome(&mut self, now: Time, key: FlowKey, packet: Packet, out: &mut Vec<Action>) {
+    /// no more work.
+    fn rehome(
+        &mut self,
+        now: Time,
+        key: FlowKey,
+        doubt: bool,
+        packet: Packet,
+        out: &mut Vec<Action>,
+    ) {
         let busy = self.flows.get(key).is_some_and(|f| f.requests.is_some());
         if busy {
             // Requests in progress hold the flow where it is, so this one has to wait for them.
-            self.refuse(&packet, Reason::Overload, out);
+            if let Some(flow) = self.flows.get_mut(key) {
+                flow.remember_refusal(packet.request, packet.attempt);
+            }
+            self.refuse(&packet, doubt, Reason::Overload, out);
             return;
         }
         let Some(ranking) = self.tables.rank(packet.service, packet.flow) else {
@@ -136,6 +157,7 @@
             candidate: 0,
             table: 0,
             backend_server: BackendServerId(0),
+            doubt,
         };
         self.place(now, relay, ranking, packet, out);
     }
@@ -154,6 +176,7 @@
         flow: FlowKey,
         server: BackendServerId,
         candidate: u8,
+        doubt: bool,
         packet: Packet,
     ) -> RequestKey {
         let next = self.flows.get(flow).and_then(|flow| flow.requests);
@@ -164,7 +187,9 @@
             progress: Progress::Queued { until: now },
             idempotent: packet.idempotent,
             deadline: packet.deadline,
-            sends: 0,
+            attempt: packet.attempt,
+            sends: u8::from(doubt),
+            received: now,
             sent: now,
             parts: 0,
             candidate,
@@ -188,6 +213,7 @@
         flow: FlowKey,
         server: BackendServerId,
         candidate: u8,
+        doubt: bool,
         packet: Packet,
     ) {
         // Half of the remaining time is left for running it.
@@ -195,7 +221,7 @@
             Some(deadline) => now + deadline.since(now) / 2,
             None => now + self.settings.admission.patience,
         };
-        let key = self.insert_request(now, flow, server, candidate, packet);
+        let key = self.insert_request(now, flow, server, candidate, doubt, packet);
         self.counters.add(Counter::Queued);
         if let Some(request) = self.requests.get_mut(key) {
             request.progress = Progress::Queued { until };
@@ -216,6 +242,7 @@
         if !request.progress.takes_slot()
             && let Some(server) = self.servers.get_mut(request.backend_server)
         {
+            server.advance(now);
             server.running += 1;
         }
         request.progress = Progress::Running;
@@ -229,6 +256,7 @@
         };
         let packet = Packet {
             kind,
+            attempt: request.attempt,
             deadline: request.deadline,
             ..packet.clone()
         };
@@ -310,12 +338,12 @@
         let Some(request) = self.requests.get_mut(key) else {
             return;
         };
-        let (id, flow) = (request.id, request.flow);
+        let (id, attempt, flow) = (request.id, request.attempt, request.flow);
         match request.progress {
             Progress::Queued { .. } => {
                 let possible = request.sends > 0;
                 self.end_request(key);
-                self.report_end(flow, id, possible, reason, out);
+                self.report_end(flow, id, attempt, possible, reason, out);
             }
             Progress::Running => {
                 let until = now + self.settings.hosting.grace;
@@ -324,7 +352,7 @@
                 if let Some(packet) = self.packet_of(flow, id, PacketKind::Cancel, None) {
                     self.send_server(now, flow, packet, out);
                 }
-                self.report_end(flow, id, true, reason, out);
+                self.report_end(flow, id, attempt, true, reason, out);
             }
             Progress::Cancelling { .. } => {}
         }
@@ -335,6 +363,7 @@
         &mut self,
         flow: FlowKey,
         id: RequestId,
+        attempt: u8,
         possible: bool,
         reason: Reason,
         out: &mut Vec<Action>,
@@ -345,8 +374,13 @@
             (PacketKind::Refused, Counter::Refusals)
         };
         self.counters.add(counter);
+        if let Some(flow) = self.flows.get_mut(flow)
+            && !possible
+        {
+            flow.remember_refusal(id, attempt);
+        }
         if let Some(packet) = self.packet_of(flow, id, kind, Some(reason)) {
-            self.send_caller(packet, out);
+            self.send_caller(Packet { attempt, ..packet }, out);
         }
     }
 
@@ -393,14 +427,14 @@
 
     fn report_requests(&mut self, key: FlowKey, reason: Reason, out: &mut Vec<Action>) {
         let head = self.flows.get(key).and_then(|flow| flow.requests);
-        let ends: smallvec::SmallVec<[(RequestId, bool); 4]> = self
+        let ends: smallvec::SmallVec<[(RequestId, u8, bool); 4]> = self
             .requests
             .list(head)
             .filter(|(_, request)| !matches!(request.progress, Progress::Cancelling { .. }))
-            .map(|(_, request)| (request.id, request.sends > 0))
+            .map(|(_, request)| (request.id, request.attempt, request.sends > 0))
             .collect();
-        for (id, possible) in ends {
-            self.report_end(key, id, possible, reason, out);
+        for (id, attempt, possible) in ends {
+            self.report_end(key, id, attempt, possible, reason, out);
         }
     }
 
@@ -429,19 +463,19 @@
         packet: &Packet,
         out: &mut Vec<Action>,
     ) -> bool {
-        let finished = self
-            .flows
-            .get(key)
-            .is_some_and(|flow| flow.has_finished(packet.request));
-        let repeated = packet.attempt > 0 && !packet.idempotent;
+        let Some(flow) = self.flows.get(key) else {
+            return false;
+        };
+        let ran = flow.has_run(packet.request);
+        let doubt = flow.doubts(packet.request, packet.attempt);
         match packet.kind {
-            PacketKind::Open | PacketKind::Request if finished || repeated => {
+            PacketKind::Open | PacketKind::Request if ran || doubt && !packet.idempotent => {
                 self.uncertain(packet, reason, out);
                 true
             }
             PacketKind::Open | PacketKind::Request => {
                 self.flows.remove(key);
-                self.reopen(now, packet, out);
+                self.reopen(now, doubt, packet, out);
                 true
             }
             PacketKind::Data => {
@@ -452,7 +486,7 @@
         }
     }
 
-    fn reopen(&mut self, now: Time, packet: &Packet, out: &mut Vec<Action>) {
+    fn reopen(&mut self, now: Time, doubt: bool, packet: &Packet, out: &mut Vec<Action>) {
         let Some(ranking) = self.tables.rank(packet.service, packet.flow) else {
             return;
         };
@@ -462,6 +496,7 @@
             candidate: 0,
             table: 0,
             backend_server: BackendServerId(0),
+            doubt,
         };
         self.place(now, relay, ranking, packet.clone(), out);
     }
@@ -484,8 +519,8 @@
         let Some(flow) = self.flows.get_mut(request.flow) else {
             return;
         };
-        if request.sends > 0 && !request.idempotent {
-            flow.remember(request.id);
+        if request.sends > 0 {
+            flow.remember(request.id, request.idempotent);
         }
         if flow.requests == Some(key) {
             flow.requests = request.next;
--- a/decisions/src/instance.rs
+++ b/decisions/src/instance.rs
@@ -105,6 +105,8 @@
     pub(crate) servers: Servers,
     /// Limits of backend servers that were handed over before this instance knew that it owns them.
     pub(crate) handed: FxHashMap<BackendServerId, (Time, u32)>,
+    /// What other owners last said of their backend servers.
+    pub(crate) limits: FxHashMap<BackendServerId, (Time, LoadShare)>,
     pub(crate) flows: Flows,
     pub(crate) requests: Requests,
     /// Flows whose exception is to be registered with the owner of their first choice.
@@ -142,6 +144,7 @@
             refreshed: None,
             servers: Servers::default(),
             handed: FxHashMap::default(),
+            limits: FxHashMap::default(),
             flows: Flows::default(),
             requests: Requests::default(),
             exceptions: Vec::new(),
@@ -225,6 +228,7 @@
         };
         self.membership.reply(now, from, &message, &context, out);
         match message {
+            PeerMessage::Heartbeat { loads, .. } => self.on_loads(now, &loads),
             PeerMessage::PullChanges { after } => self.on_pull(from, after, out),
             PeerMessage::Changes { records } => {
                 self.on_records(now, records, out);
@@ -243,6 +247,14 @@
         }
     }
 
+    /// Remembers how much the backend servers of another owner bear, in case this instance has to
+    /// take them over.
+    fn on_loads(&mut self, now: Time, loads: &[LoadShare]) {
+        for load in loads {
+            self.limits.insert(load.backend_server, (now, *load));
+        }
+    }
+
     /// Pulls the rest at once where a pull brought only a part of the missing records.
     fn spread_again(&mut self, now: Time, out: &mut Vec<Action>) {
         if self.spread.is_behind() {
@@ -371,7 +383,7 @@
                 backend_server,
                 requests: self.requests.list(head).count() as u32,
             },
-            Some((Place::Redirected(backend_server), _)) => {
+            Some((Place::Redirected { backend_server, .. }, _)) => {
                 FlowHolding::Redirected { backend_server }
             }
             Some((Place::Closed(reason), _)) => FlowHolding::Closed { reason },
@@ -386,5 +398,7 @@
     LoadShare {
         backend_server: server.id,
         used: share.min(usize::from(u16::MAX)) as u16,
+        limit: server.limit().min(u32::from(u16::MAX)) as u16,
+        boot: server.report.map_or(0, |(_, report)| report.boot as u32),
     }
 }
--- a/decisions/src/ownership.rs
+++ b/decisions/src/ownership.rs
@@ -6,7 +6,10 @@
 use smallvec::SmallVec;
 
 use crate::action::Action;
-use crate::config::ServerState;
+use crate::config::{
+    ServerState,
+    ZoneState, //
+};
 use crate::counter::Counter;
 use crate::event::Health;
 use crate::ids::{
@@ -92,6 +95,11 @@
             let Some(pool) = self.configuration.pools.get(&server.pool) else {
                 continue;
             };
+            // Nothing is sent to a zone that is out, not even polls.
+            let zone = self.configuration.zones.get(&pool.zone);
+            if zone.is_none_or(|zone| zone.state == ZoneState::Out) {
+                continue;
+            }
             // Another zone's backend servers matter only where that zone has no live instance.
             if pool.zone != self.member.zone && !self.membership.live(pool.zone).is_empty() {
                 continue;
@@ -110,7 +118,7 @@
     /// reach of owners.
     fn refresh_missing(&mut self, now: Time, id: BackendServerId, out: &mut Vec<Action>) {
         if self.configuration.servers.contains_key(&id) {
-            let zone = self.zone_of(id);
+            let zone = self.zone_of(id).filter(|zone| self.is_in(*zone));
             let owner = zone.and_then(|zone| self.owner(id, zone));
             self.release(now, id, owner, out);
             return;
@@ -168,9 +176,10 @@
         } else {
             Phase::Waiting { until }
         };
+        let inherited = self.limits.remove(&id).map(|(_, load)| load);
         let mut warmup = Warmup::cold(now);
         if let Some((_, limit)) = handed {
-            warmup.resume(limit, config.slots, now);
+            warmup.resume(limit, config.slots);
         }
         let server = Server {
             id,
@@ -188,8 +197,9 @@
             fenced: false,
             lapsed: None,
             warmup,
-            running: 0,
-            flows: 0,
+            inherited,
+            running: self.count_running(id),
+            flows: self.count_hosted(id),
             queue: SmallVec::new(),
             health: Health::Serving,
             missed: 0,
@@ -202,18 +212,24 @@
             backend_server: id,
             health: server.endpoint,
         });
+        let flows = server.flows;
         self.servers.insert(server);
         self.counters.add(Counter::Acquisitions);
-        let flows = self.count_hosted(id);
-        if let Some(server) = self.servers.get_mut(id) {
-            server.flows = flows;
-        }
         out.push(Action::Note(Occurrence::Acquired {
             backend_server: id,
             flows,
         }));
     }
 
+    /// Counts the requests that a handover brought before the ownership.
+    fn count_running(&self, id: BackendServerId) -> u32 {
+        let running = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.backend_server == id && request.progress.takes_slot());
+        running.count() as u32
+    }
+
     fn count_hosted(&self, id: BackendServerId) -> u32 {
         let place = crate::flows::Place::Hosted(id);
         self.flows.iter().filter(|(_, f)| f.place == place).count() as u32
--- a/decisions/src/packet.rs
+++ b/decisions/src/packet.rs
@@ -176,6 +176,9 @@
     pub table: u8,
     /// The backend server whose owner should handle the packet.
     pub backend_server: BackendServerId,
+    /// Whether an earlier attempt or send of the request may have run without a record that tells.
+    /// Such a request must not be reported as not run.
+    pub doubt: bool,
 }
 
 /// The most instances that a packet passes before it is dropped. Covers four candidates, each
--- a/decisions/src/peer.rs
+++ b/decisions/src/peer.rs
@@ -5,6 +5,7 @@
 use smallvec::SmallVec;
 
 use crate::config::Record;
+use crate::flows::FINISHED;
 use crate::ids::{
     BackendServerId,
     FlowId,
@@ -69,6 +70,10 @@
     pub backend_server: BackendServerId,
     /// Slots in use plus requests queued, in 1/256 of its slots.
     pub used: u16,
+    /// How many requests its owner lets it run at once.
+    pub limit: u16,
+    /// The low bits of its boot number, by which the limit is void after a restart.
+    pub boot: u32,
 }
 
 /// A flow that is served by another backend server than its first choice.
@@ -106,6 +111,8 @@
     pub backend_server: BackendServerId,
     /// Requests that its backend server is running.
     pub requests: SmallVec<[RequestState; 2]>,
+    /// Tags of finished requests, newest first; 0 for none.
+    pub finished: [u32; FINISHED],
 }
 
 /// The most membership updates in one message.
--- a/decisions/src/requests.rs
+++ b/decisions/src/requests.rs
@@ -54,9 +54,13 @@
     pub idempotent: bool,
     /// When its caller stops waiting.
     pub deadline: Option<Time>,
+    /// The latest attempt of the caller.
+    pub attempt: u8,
     /// How often it was sent to a backend server. At most 1 for a non-idempotent request, unless
     /// each earlier one was refused.
     pub sends: u8,
+    /// When it arrived here.
+    pub received: Time,
     /// When it was sent last.
     pub sent: Time,
     /// How many answer parts were passed on.
--- a/decisions/src/routing.rs
+++ b/decisions/src/routing.rs
@@ -52,6 +52,7 @@
             candidate: 0,
             table: 0,
             backend_server: BackendServerId(0),
+            doubt: false,
         };
         self.route(now, relay, packet, out);
     }
@@ -75,6 +76,7 @@
     pub(crate) fn route(&mut self, now: Time, relay: Relay, packet: Packet, out: &mut Vec<Action>) {
         let record = self.flows.find(packet.flow);
         if let Some(key) = record
+            && self.decides(relay, key)
             && self.follow(now, relay, key, &packet, out)
         {
             return;
@@ -90,6 +92,20 @@
         }
     }
 
+    /// Returns whether a record may decide about a packet. Where a flow is not served, a record may
+    /// be left from an earlier placement, unless this instance is the first on the flow's way.
+    fn decides(&mut self, relay: Relay, key: FlowKey) -> bool {
+        let Some(flow) = self.flows.get(key) else {
+            return false;
+        };
+        if relay.hops > 0 || matches!(flow.place, Place::Hosted(_)) {
+            return true;
+        }
+        let ranking = self.tables.rank(flow.service, flow.id).unwrap_or_default();
+        let first = self.first_owner(&ranking);
+        first.is_some_and(|(_, owner)| owner == self.member.id)
+    }
+
     /// Handles a packet by the record of its flow; returns false if the record does not decide.
     fn follow(
         &mut self,
@@ -112,38 +128,51 @@
                 self.host_packet(now, key, relay, packet.clone(), out);
                 true
             }
-            Place::Redirected(server) if !self.servers.owns(server) => {
-                // An instance that was asked to place the flow must not send it back along an
-                // earlier placement.
-                if relay.purpose == Purpose::Place && relay.hops > 0 {
-                    return false;
-                }
-                flow.seen = now;
-                flow.opened = true;
-                let zone = self.zone_of(server);
-                self.redirect(relay, server, zone, packet, out)
+            Place::Redirected { backend_server, .. } if !self.servers.owns(backend_server) => {
+                self.redirect(now, relay, key, packet, out)
             }
             Place::Closed(reason) => self.answer_closed(now, key, reason, packet, out),
-            Place::Hosted(_) | Place::Redirected(_) => {
+            // Its owner died, and this instance took over: the record still tells where the flow is.
+            Place::Redirected { .. } => false,
+            Place::Hosted(_) => {
                 self.flows.remove(key);
                 false
             }
         }
     }
 
+    /// Follows a redirect; returns false if the record does not decide.
     fn redirect(
         &mut self,
+        now: Time,
         relay: Relay,
-        server: BackendServerId,
-        zone: Option<ZoneId>,
+        key: FlowKey,
         packet: &Packet,
         out: &mut Vec<Action>,
     ) -> bool {
-        let Some(zone) = zone else { return false };
-        let Some(owner) = self.owner(server, zone) else {
+        let Some(Place::Redirected {
+            backend_server: server,
+            position,
+        }) = self.flows.get(key).map(|flow| flow.place)
+        else {
             return false;
         };
+        let forward = relay.hops == 0 || position > relay.candidate;
+        let placing = relay.purpose == Purpose::Place && relay.hops > 0;
+        if placing || (!forward && relay.purpose != Purpose::Adopt) {
+            return false;
+        }
+        let owner = self
+            .zone_of(server)
+            .and_then(|zone| self.owner(server, zone));
+        let Some(owner) = owner else { return false };
+        if let Some(flow) = self.flows.get_mut(key) {
+            flow.seen = now;
+            flow.opened = true;
+        }
         let relay = Relay {
+            candidate: position,
+            table: 0,
             backend_server: server,
             ..relay
         };
@@ -161,7 +190,7 @@
         out: &mut Vec<Action>,
     ) {
         if packet.deadline.is_some_and(|deadline| deadline <= now) {
-            self.refuse(&packet, Reason::Deadline, out);
+            self.refuse(&packet, relay.doubt, Reason::Deadline, out);
             return;
         }
         let mut tried = None;
@@ -178,13 +207,13 @@
             match self.owner(candidate.backend_server, candidate.zone) {
                 Some(owner) if owner == self.member.id => {
                     tried = Some((candidate, position));
-                    if self.try_place(now, candidate, position as u8, &packet, out) {
+                    if self.try_place(now, relay, candidate, position as u8, &packet, out) {
                         return;
                     }
                 }
                 Some(owner) => {
                     if tried.is_some() {
-                        self.note_redirect(now, candidate.backend_server, &packet);
+                        self.note_redirect(now, candidate.backend_server, position as u8, &packet);
                     }
                     let relay = Relay {
                         purpose: Purpose::Place,
@@ -198,12 +227,21 @@
                 None => self.counters.add(Counter::NoOwner),
             }
         }
-        self.place_last(now, tried, packet, out);
+        self.place_last(now, relay, tried, packet, out);
     }
 
     /// Notes that a flow was passed on to another candidate, so that later packets follow.
-    pub(crate) fn note_redirect(&mut self, now: Time, server: BackendServerId, packet: &Packet) {
-        let place = Place::Redirected(server);
+    pub(crate) fn note_redirect(
+        &mut self,
+        now: Time,
+        server: BackendServerId,
+        position: u8,
+        packet: &Packet,
+    ) {
+        let place = Place::Redirected {
+            backend_server: server,
+            position,
+        };
         let flow = Flow::new(packet.flow, packet.service, place, packet.route, now);
         self.insert_flow(flow);
     }
@@ -211,6 +249,7 @@
     fn try_place(
         &mut self,
         now: Time,
+        relay: Relay,
         candidate: Candidate,
         position: u8,
         packet: &Packet,
@@ -225,7 +264,7 @@
         if verdict != Verdict::Run || !server.has_connection() || !server.queue.is_empty() {
             return false;
         }
-        self.host_new(now, id, position, packet, out);
+        self.host_new(now, id, position, relay.doubt, packet, out);
         true
     }
 
@@ -233,12 +272,13 @@
     fn place_last(
         &mut self,
         now: Time,
+        relay: Relay,
         tried: Option<(Candidate, usize)>,
         packet: Packet,
         out: &mut Vec<Action>,
     ) {
         let Some((candidate, position)) = tried else {
-            self.refuse(&packet, Reason::OwnerUnreachable, out);
+            self.refuse(&packet, relay.doubt, Reason::OwnerUnreachable, out);
             return;
         };
         let id = candidate.backend_server;
@@ -246,17 +286,27 @@
             server.has_connection() && server.can_queue(&self.settings.admission)
         });
         if room {
-            self.host_new(now, id, position as u8, &packet, out);
+            self.host_new(now, id, position as u8, relay.doubt, &packet, out);
         } else {
-            self.refuse(&packet, Reason::Overload, out);
+            self.note_refusal(now, &packet);
+            self.refuse(&packet, relay.doubt, Reason::Overload, out);
         }
     }
 
+    /// Remembers that a flow was not opened, so that its next attempt need not be doubted.
+    fn note_refusal(&mut self, now: Time, packet: &Packet) {
+        let place = Place::Closed(Reason::Overload);
+        let mut flow = Flow::new(packet.flow, packet.service, place, packet.route, now);
+        flow.remember_refusal(packet.request, packet.attempt);
+        self.insert_flow(flow);
+    }
+
     fn host_new(
         &mut self,
         now: Time,
         server: BackendServerId,
         position: u8,
+        doubt: bool,
         packet: &Packet,
         out: &mut Vec<Action>,
     ) {
@@ -274,7 +324,7 @@
                 candidate: position,
             }));
         }
-        self.start_request(now, key, position, packet.clone(), out);
+        self.start_request(now, key, position, doubt, packet.clone(), out);
     }
 
     /// Looks for the record of a flow along its candidates, then along its first choices under
@@ -287,19 +337,19 @@
         packet: Packet,
         out: &mut Vec<Action>,
     ) {
-        if relay.hops + 1 < MAX_HOPS
-            && let Some((step, owner)) = self.next_step(relay, &ranking, &packet)
-        {
-            let relay = Relay {
-                candidate: step.position,
-                table: step.table,
-                backend_server: step.candidate.backend_server,
-                ..relay
-            };
-            self.pass_on(owner, relay, packet, out);
-            return;
+        match self.next_step(relay, &ranking, &packet) {
+            // One hop is left for the owner of the first choice, and one for where it points.
+            Some((step, owner)) if relay.hops + 2 < MAX_HOPS => {
+                let relay = Relay {
+                    candidate: step.position,
+                    table: step.table,
+                    backend_server: step.candidate.backend_server,
+                    ..relay
+                };
+                self.pass_on(owner, relay, packet, out);
+            }
+            _ => self.adopt(now, relay, ranking, packet, out),
         }
-        self.adopt(now, relay, ranking, packet, out);
     }
 
     /// Returns the next step whose owner was not asked yet.
@@ -309,14 +359,14 @@
         ranking: &Ranking,
         packet: &Packet,
     ) -> Option<(Step, InstanceId)> {
-        let steps = self.steps(ranking, packet);
         let mut asked = smallvec::SmallVec::<[InstanceId; 8]>::new();
         asked.push(self.member.id);
-        for step in steps {
-            if !self.usable(step.candidate.zone) {
+        for step in self.steps(ranking, packet) {
+            let candidate = step.candidate;
+            if !self.usable(candidate.zone) {
                 continue;
             }
-            let Some(owner) = self.owner(step.candidate.backend_server, step.candidate.zone) else {
+            let Some(owner) = self.owner(candidate.backend_server, candidate.zone) else {
                 continue;
             };
             let earlier = (step.table, step.position) <= (relay.table, relay.candidate);
@@ -329,6 +379,15 @@
         None
     }
 
+    /// Returns whether this instance owns a backend server, but not for long enough to know all
+    /// flows and requests on it.
+    fn is_recent(&self, now: Time, server: BackendServerId) -> bool {
+        let memory = self.settings.ownership.memory;
+        self.servers
+            .get(server)
+            .is_some_and(|server| now.since(server.acquired) < memory)
+    }
+
     fn steps(&self, ranking: &Ranking, packet: &Packet) -> smallvec::SmallVec<[Step; 8]> {
         let present = ranking
             .iter()
@@ -349,7 +408,7 @@
         present.chain(earlier).collect()
     }
 
-    /// Decides about a flow of which no instance has a record.
+    /// Decides about a flow of which no instance has a record, or passes it to who does.
     fn adopt(
         &mut self,
         now: Time,
@@ -358,63 +417,84 @@
         packet: Packet,
         out: &mut Vec<Action>,
     ) {
+        if relay.purpose == Purpose::Adopt
+            && let Some(backend_server) = self.adopted_server(relay, &packet)
+        {
+            let relay = Relay {
+                backend_server,
+                ..relay
+            };
+            self.adopt_here(now, relay, ranking, packet, out);
+            return;
+        }
         let Some((first, owner)) = self.first_owner(&ranking) else {
             self.counters.add(Counter::NoOwner);
             if packet.kind.starts_request() {
-                self.uncertain(&packet, Reason::OwnerUnreachable, out);
+                self.refuse(&packet, true, Reason::OwnerUnreachable, out);
             }
             return;
         };
-        if owner != self.member.id {
+        let relay = Relay {
+            purpose: Purpose::Adopt,
+            candidate: 0,
+            table: 0,
+            backend_server: first.backend_server,
+            ..relay
+        };
+        if owner == self.member.id {
+            let backend_server = self.adopted_server(relay, &packet);
             let relay = Relay {
-                purpose: Purpose::Adopt,
-                candidate: 0,
-                table: 0,
-                backend_server: first.backend_server,
+                backend_server: backend_server.unwrap_or(first.backend_server),
                 ..relay
             };
+            self.adopt_here(now, relay, ranking, packet, out);
+        } else {
             self.pass_on(owner, relay, packet, out);
-            return;
         }
-        self.adopt_here(now, relay, first, ranking, packet, out);
     }
 
+    /// Returns the owned backend server that a flow without a record would be on: where a redirect
+    /// points, else the one that the sender named.
+    fn adopted_server(&self, relay: Relay, packet: &Packet) -> Option<BackendServerId> {
+        let record = self.flows.find(packet.flow);
+        let place = record.and_then(|key| self.flows.get(key)).map(|f| f.place);
+        let named = match place {
+            Some(Place::Redirected { backend_server, .. }) => backend_server,
+            _ => relay.backend_server,
+        };
+        self.servers.owns(named).then_some(named)
+    }
+
+    /// Decides about a flow of which no instance has a record, as the owner of the backend server
+    /// where it would be.
     fn adopt_here(
         &mut self,
         now: Time,
         relay: Relay,
-        first: Candidate,
         ranking: Ranking,
         packet: Packet,
         out: &mut Vec<Action>,
     ) {
-        let recent = self
-            .servers
-            .get(first.backend_server)
-            .is_some_and(|server| now.since(server.acquired) < self.settings.ownership.memory);
-        let repeated = packet.attempt > 0 && !packet.idempotent;
+        let recent = self.is_recent(now, relay.backend_server);
+        let doubt = relay.doubt || packet.attempt > 0;
         match packet.kind {
-            // An earlier attempt may have gone through the owner before this one.
-            PacketKind::Open | PacketKind::Request if repeated && recent => {
+            // An earlier attempt may have reached a backend server without a record here.
+            PacketKind::Open | PacketKind::Request if doubt && !packet.idempotent => {
                 self.uncertain(&packet, Reason::OwnerChanged, out);
             }
             PacketKind::Request | PacketKind::Data | PacketKind::Cancel | PacketKind::Close
                 if recent =>
             {
-                self.counters.add(Counter::Adopted);
-                let place = Place::Hosted(first.backend_server);
-                let mut flow = Flow::new(packet.flow, packet.service, place, packet.route, now);
-                flow.opened = true;
-                let key = self.insert_flow(flow);
-                self.host_packet(now, key, relay, packet, out);
+                self.adopt_flow(now, relay, packet, out);
             }
             PacketKind::Open | PacketKind::Request => {
                 let relay = Relay {
                     purpose: Purpose::Place,
-                    hops: relay.hops.min(MAX_HOPS - ranking.len() as u8),
+                    hops: 0,
                     candidate: 0,
                     table: 0,
-                    backend_server: first.backend_server,
+                    backend_server: relay.backend_server,
+                    doubt,
                 };
                 self.place(now, relay, ranking, packet, out);
             }
@@ -425,6 +505,17 @@
         }
     }
 
+    /// Takes a flow over whose record was lost with the former owner.
+    fn adopt_flow(&mut self, now: Time, relay: Relay, packet: Packet, out: &mut Vec<Action>) {
+        self.counters.add(Counter::Adopted);
+        let place = Place::Hosted(relay.backend_server);
+        let mut flow = Flow::new(packet.flow, packet.service, place, packet.route, now);
+        flow.opened = true;
+        flow.adopted = true;
+        let key = self.insert_flow(flow);
+        self.host_packet(now, key, relay, packet, out);
+    }
+
     fn first_owner(&mut self, ranking: &Ranking) -> Option<(Candidate, InstanceId)> {
         for candidate in ranking {
             if !self.usable(candidate.zone) {
@@ -439,8 +530,13 @@
 
     /// Returns whether packets may go to a zone: it is in service and can be reached.
     pub(crate) fn usable(&self, zone: ZoneId) -> bool {
+        self.is_in(zone) && self.membership.reachable(zone)
+    }
+
+    /// Returns whether a zone is in service.
+    pub(crate) fn is_in(&self, zone: ZoneId) -> bool {
         let state = self.configuration.zones.get(&zone).map(|zone| zone.state);
-        state == Some(ZoneState::In) && self.membership.reachable(zone)
+        state == Some(ZoneState::In)
     }
 
     /// Returns the owner of a backend server.
@@ -488,8 +584,18 @@
         });
     }
 
-    /// Tells the caller that its request did not run.
-    pub(crate) fn refuse(&mut self, packet: &Packet, reason: Reason, out: &mut Vec<Action>) {
+    /// Tells the caller that its request did not run, or, where that is in doubt, that it may have.
+    pub(crate) fn refuse(
+        &mut self,
+        packet: &Packet,
+        doubt: bool,
+        reason: Reason,
+        out: &mut Vec<Action>,
+    ) {
+        if doubt {
+            self.uncertain(packet, reason, out);
+            return;
+        }
         self.counters.add(Counter::Refusals);
         self.send_caller(packet.reply(PacketKind::Refused, reason), out);
     }
--- a/decisions/src/servers.rs
+++ b/decisions/src/servers.rs
@@ -19,6 +19,7 @@
     ServiceId,
     ZoneId, //
 };
+use crate::peer::LoadShare;
 use crate::requests::RequestKey;
 use crate::time::Time;
 use crate::warmup::{
@@ -118,6 +119,9 @@
     pub lapsed: Option<Time>,
     /// How many requests it bears at present.
     pub warmup: Warmup,
+    /// What its former owner last said of it, until its first load report tells whether that is
+    /// still true.
+    pub inherited: Option<LoadShare>,
     /// Requests of this owner that take a slot; counts each of them once.
     pub running: u32,
     /// Flows of this owner that it holds.
@@ -200,6 +204,11 @@
         self.queue.retain(|(_, key)| *key != request);
     }
 
+    /// Counts the time that it has worked. Called before the number of running requests changes.
+    pub fn advance(&mut self, now: Time) {
+        self.warmup.advance(now, self.running > 0);
+    }
+
     /// Notes that a packet was sent to it.
     pub fn note_sent(&mut self, now: Time) {
         self.asked.get_or_insert(now);
@@ -226,7 +235,8 @@
 
     /// Notes the end of a request with an answer.
     pub fn note_success(&mut self, latency: Duration, settings: &WarmupSettings, now: Time) {
-        self.warmup.succeed(latency, self.slots, settings, now);
+        self.advance(now);
+        self.warmup.succeed(latency, self.slots, settings);
     }
 
     /// Notes a load report; returns whether it shows that the backend server started again.
@@ -236,7 +246,12 @@
             .is_some_and(|(_, earlier)| earlier.boot != report.boot);
         if self.report.is_none() {
             // A server that already runs this many bears at least as many.
-            self.warmup.resume(report.requests, self.slots, now);
+            self.warmup.resume(report.requests, self.slots);
+        }
+        if let Some(inherited) = self.inherited.take()
+            && inherited.boot == report.boot as u32
+        {
+            self.warmup.resume(u32::from(inherited.limit), self.slots);
         }
         self.report = Some((now, report));
         restarted
--- a/decisions/src/upkeep.rs
+++ b/decisions/src/upkeep.rs
@@ -105,6 +105,7 @@
         let Some(server) = self.servers.get_mut(id) else {
             return;
         };
+        server.advance(now);
         if matches!(server.phase, Phase::Waiting { until } if now >= until) {
             server.phase = Phase::Active;
         }
@@ -203,7 +204,15 @@
         if self.retry(now, flow, request, out) {
             return true;
         }
-        self.report_end(flow, copy.id, copy.sends > 0, Reason::ServerFailed, out);
+        let possible = copy.sends > 0;
+        self.report_end(
+            flow,
+            copy.id,
+            copy.attempt,
+            possible,
+            Reason::ServerFailed,
+            out,
+        );
         true
     }
 
@@ -264,8 +273,8 @@
                 let age = now.since(flow.seen);
                 match flow.place {
                     Place::Hosted(_) => flow.requests.is_none() && age >= idle(flow.service),
-                    Place::Redirected(_) if flow.opened => age >= idle(flow.service),
-                    Place::Redirected(_) => age >= hosting.unconfirmed,
+                    Place::Redirected { .. } if flow.opened => age >= idle(flow.service),
+                    Place::Redirected { .. } => age >= hosting.unconfirmed,
                     Place::Closed(_) => age >= memory,
                 }
             })
@@ -275,6 +284,7 @@
             self.remove_flow(key);
         }
         self.handed.retain(|_, (at, _)| now.since(*at) < memory);
+        self.limits.retain(|_, (at, _)| now.since(*at) < memory);
     }
 
     pub(crate) fn on_leave(&mut self, now: Time, out: &mut Vec<Action>) {
--- a/decisions/src/warmup.rs
+++ b/decisions/src/warmup.rs
@@ -10,18 +10,20 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct WarmupSettings {
-    /// The least time between two rises of the limit.
+    /// How long the backend server has to work between two rises of the limit. Time without a
+    /// request does not warm it up.
     #[serde(with = "humantime_serde")]
     pub step: Duration,
-    /// A result that takes longer than this many times the usual latency counts as slow.
+    /// The backend server counts as slow while its recent latency is more than this many times the
+    /// usual one.
     pub slowness: u32,
 }
 
 impl Default for WarmupSettings {
     fn default() -> WarmupSettings {
         WarmupSettings {
-            step: Duration::from_secs(1),
-            slowness: 4,
+            step: Duration::from_millis(1250),
+            slowness: 3,
         }
     }
 }
@@ -29,8 +31,12 @@
 /// The limit of a backend server of which nothing is known.
 pub const COLD_LIMIT: u32 = 1;
 
-/// The latency average takes one part in this many from each new sample.
-const LATENCY_WEIGHT: u32 = 8;
+/// The recent latency takes one part in this many from each new sample. Single slow requests are
+/// no sign of overload, because work differs.
+const RECENT_WEIGHT: u32 = 8;
+
+/// The usual latency takes one part in this many from each new sample.
+const USUAL_WEIGHT: u32 = 64;
 
 /// The warm-up limit of one backend server.
 #[derive(Clone, Debug)]
@@ -39,10 +45,12 @@
     limit: u32,
     /// Clean results since the limit last changed.
     clean: u32,
-    /// When the limit last changed.
-    changed: Time,
-    /// A moving average of the time to the first answer part.
-    latency: Option<Duration>,
+    /// How long the backend server has worked since the limit last changed.
+    worked: Duration,
+    /// The time up to which `worked` counts.
+    advanced: Time,
+    /// Moving averages of the time to the first answer part: the recent and the usual one.
+    latency: Option<(Duration, Duration)>,
 }
 
 impl Warmup {
@@ -51,7 +59,8 @@
         Warmup {
             limit: COLD_LIMIT,
             clean: 0,
-            changed: now,
+            worked: Duration::ZERO,
+            advanced: now,
             latency: None,
         }
     }
@@ -66,54 +75,71 @@
         *self = Warmup::cold(now);
     }
 
+    /// Counts the time since the last call as work if the backend server was working.
+    pub fn advance(&mut self, now: Time, working: bool) {
+        if working {
+            self.worked += now.since(self.advanced);
+        }
+        self.advanced = now;
+    }
+
     /// Takes over a limit that another owner or a load report has shown to be borne.
-    pub fn resume(&mut self, limit: u32, slots: u32, now: Time) {
+    pub fn resume(&mut self, limit: u32, slots: u32) {
         let limit = limit.clamp(COLD_LIMIT, slots.max(COLD_LIMIT));
         if limit > self.limit {
-            self.set(limit, now);
+            self.set(limit);
         }
     }
 
     /// Notes that a request ended with an answer whose first part took `latency`.
-    pub fn succeed(&mut self, latency: Duration, slots: u32, settings: &WarmupSettings, now: Time) {
-        if self.is_slow(latency, settings) {
-            self.lower(now);
+    pub fn succeed(&mut self, latency: Duration, slots: u32, settings: &WarmupSettings) {
+        self.average(latency);
+        if self.is_slow(settings) {
+            self.lower();
         } else {
             self.clean += 1;
-            self.rise(slots, settings, now);
+            self.rise(slots, settings);
         }
-        self.average(latency);
     }
 
     /// Notes that the backend server refused a request.
-    pub fn shed(&mut self, now: Time) {
-        self.lower(now);
+    pub fn shed(&mut self) {
+        self.lower();
     }
 
-    fn is_slow(&self, latency: Duration, settings: &WarmupSettings) -> bool {
-        self.latency
-            .is_some_and(|usual| latency > usual * settings.slowness)
+    fn is_slow(&self, settings: &WarmupSettings) -> bool {
+        let slow = |(recent, usual): (Duration, Duration)| recent > usual * settings.slowness;
+        self.latency.is_some_and(slow)
     }
 
     fn average(&mut self, latency: Duration) {
-        let old = self.latency.unwrap_or(latency);
-        self.latency = Some((old * (LATENCY_WEIGHT - 1) + latency) / LATENCY_WEIGHT);
+        let (recent, usual) = self.latency.unwrap_or((latency, latency));
+        self.latency = Some((
+            moved(recent, latency, RECENT_WEIGHT),
+            moved(usual, latency, USUAL_WEIGHT),
+        ));
     }
 
-    fn rise(&mut self, slots: u32, settings: &WarmupSettings, now: Time) {
-        let ready = self.clean >= self.limit && now.since(self.changed) >= settings.step;
+    fn rise(&mut self, slots: u32, settings: &WarmupSettings) {
+        let ready = self.clean >= self.limit && self.worked >= settings.step;
         if ready && self.limit < slots {
-            self.set((self.limit * 2).min(slots), now);
+            self.set((self.limit * 2).min(slots));
         }
     }
 
-    fn lower(&mut self, now: Time) {
-        self.set((self.limit / 2).max(COLD_LIMIT), now);
+    fn lower(&mut self) {
+        self.set((self.limit / 2).max(COLD_LIMIT));
+        // The next samples tell whether the lower limit has helped.
+        self.latency = self.latency.map(|(_, usual)| (usual, usual));
     }
 
-    fn set(&mut self, limit: u32, now: Time) {
+    fn set(&mut self, limit: u32) {
         self.limit = limit;
         self.clean = 0;
-        self.changed = now;
+        self.worked = Duration::ZERO;
     }
 }
+
+fn moved(average: Duration, sample: Duration, weight: u32) -> Duration {
+    (average * (weight - 1) + sample) / weight
+}
--- a/instances/src/decode.rs
+++ b/instances/src/decode.rs
@@ -149,10 +149,16 @@
 fn load(load: wire::LoadShare) -> Result<LoadShare> {
     Ok(LoadShare {
         backend_server: BackendServerId(load.backend_server),
-        used: u16::try_from(load.used).map_err(|_| FrameError::Invalid(Field::Load))?,
+        used: short(load.used)?,
+        limit: short(load.limit)?,
+        boot: load.boot,
     })
 }
 
+fn short(value: u32) -> Result<u16> {
+    u16::try_from(value).map_err(|_| FrameError::Invalid(Field::Load))
+}
+
 fn exceptions(exceptions: Vec<wire::Exception>) -> Result<Vec<Exception>> {
     list(exceptions, MAX_EXCEPTIONS, Field::Exceptions, exception)
 }
@@ -176,6 +182,10 @@
         },
         backend_server: BackendServerId(flow.backend_server),
         requests: flow.requests.into_iter().map(request).collect(),
+        finished: flow
+            .finished
+            .try_into()
+            .map_err(|_| FrameError::Invalid(Field::Finished))?,
     })
 }
 
--- a/instances/src/encode.rs
+++ b/instances/src/encode.rs
@@ -145,6 +145,8 @@
     wire::LoadShare {
         backend_server: load.backend_server.0,
         used: u32::from(load.used),
+        limit: u32::from(load.limit),
+        boot: load.boot,
     }
 }
 
@@ -165,6 +167,7 @@
         unique: number(flow.route.unique),
         backend_server: flow.backend_server.0,
         requests: flow.requests.iter().map(request).collect(),
+        finished: flow.finished.to_vec(),
     }
 }
 
--- a/instances/src/error.rs
+++ b/instances/src/error.rs
@@ -28,6 +28,8 @@
     Exceptions,
     /// Flows.
     Flows,
+    /// Tags of finished requests.
+    Finished,
     /// A configuration record.
     Record,
 }
--- a/instances/tests/frame.rs
+++ b/instances/tests/frame.rs
@@ -88,6 +88,8 @@
     LoadShare {
         backend_server: BackendServerId(u32::arbitrary(g)),
         used: u16::arbitrary(g),
+        limit: u16::arbitrary(g),
+        boot: u32::arbitrary(g),
     }
 }
 
@@ -115,6 +117,7 @@
         },
         backend_server: BackendServerId(u32::arbitrary(g)),
         requests: requests.into(),
+        finished: std::array::from_fn(|_| u32::arbitrary(g)),
     }
 }
 
