--- a/daemon/tests/fleet/load.rs
+++ b/daemon/tests/fleet/load.rs
@@ -105,8 +105,17 @@
 }
 
 impl Load {
-    /// Starts callers; the download of each lasts `parts` times 20 ms.
+    /// Starts callers; a download lasts `parts` times 20 ms.
     pub(crate) async fn start(fleet: &Fleet, parts: u32) -> Load {
+        Load::with(fleet, Work::for_millis(5), Work::download(parts, 20)).await
+    }
+
+    /// Starts callers that all make the same requests.
+    pub(crate) async fn with_work(fleet: &Fleet, work: Work) -> Load {
+        Load::with(fleet, work, work).await
+    }
+
+    async fn with(fleet: &Fleet, short: Work, download: Work) -> Load {
         let stop = Arc::new(AtomicBool::new(false));
         let mut tasks = JoinSet::new();
         for seed in 0..SHORT + DOWNLOADS {
@@ -118,7 +127,7 @@
                 ..CallerSettings::default()
             };
             let caller = Caller::start(settings).await.unwrap();
-            let work = (seed >= SHORT).then(|| Work::download(parts, 20));
+            let work = if seed < SHORT { short } else { download };
             tasks.spawn(call(caller, work, stop.clone()));
         }
         Load { stop, tasks }
@@ -135,18 +144,18 @@
     }
 }
 
-async fn call(mut caller: Caller, download: Option<Work>, stop: Arc<AtomicBool>) -> Outcome {
+async fn call(mut caller: Caller, work: Work, stop: Arc<AtomicBool>) -> Outcome {
     let mut outcome = Outcome::default();
     while !stop.load(Ordering::Relaxed) {
         let mut flow = caller.flow(ADDRESS.into(), SERVICE).unwrap();
         for n in 0..REQUESTS {
             let order = Order {
-                work: download.unwrap_or(Work::for_millis(5)),
+                work,
                 ..Order::default()
             };
             let ending = flow.request(order).await.unwrap();
             let request = (flow.flow, RequestId(n));
-            outcome.note(ending, request, download.is_some());
+            outcome.note(ending, request, work.parts > 1);
             if stop.load(Ordering::Relaxed) || !matches!(ending, Ending::Answered { .. }) {
                 break;
             }
--- a/daemon/tests/fleet/mod.rs
+++ b/daemon/tests/fleet/mod.rs
@@ -48,6 +48,9 @@
 pub(crate) const SERVICE: &str = "ticket-desk";
 pub(crate) const ADDRESS: ([u8; 4], u16) = ([198, 51, 100, 7], 80);
 
+/// How many requests a backend server runs at once.
+const SLOTS: u32 = 4;
+
 /// How long the fleet may take to agree on something.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -295,6 +298,16 @@
         }
     }
 
+    /// Returns whether all backend servers may use all their slots.
+    pub(crate) async fn is_warm(&self) -> bool {
+        let answers = self.client.status().await;
+        let owned = answers.iter().flat_map(|(_, answer)| match answer {
+            Ok((status, _)) => status.owned.as_slice(),
+            Err(_) => &[],
+        });
+        owned.filter(|owned| owned.limit >= SLOTS).count() == self.servers.len()
+    }
+
     /// Starts a caller behind the fabric.
     pub(crate) async fn caller(&self, seed: u64) -> Caller {
         let settings = CallerSettings {
@@ -326,7 +339,7 @@
         address: server.address,
         health: server.health,
         weight: 100,
-        slots: 4,
+        slots: SLOTS,
         connections: 2000,
     }
 }
--- a/daemon/tests/processes.rs
+++ b/daemon/tests/processes.rs
@@ -308,14 +308,15 @@
     bytes
 }
 
-/// Makes requests until the backend servers have left their first limit.
+/// Makes requests until each backend server's warm-up limit is at its slots.
 async fn warm(fleet: &Fleet) {
-    let mut callers = tokio::task::JoinSet::new();
-    for seed in 0..6 {
-        let mut caller = fleet.caller(1000 + seed).await;
-        callers.spawn(async move { requests(&mut caller, 100).await });
+    let load = Load::with_work(fleet, Work::for_millis(100)).await;
+    let deadline = Instant::now() + Duration::from_secs(12);
+    while !fleet.is_warm().await {
+        assert!(Instant::now() < deadline, "the backend servers stay cold");
+        pause(50).await;
     }
-    let _ = callers.join_all().await;
+    load.finish().await;
 }
 
 /// Returns how many requests the backend servers of a zone have started.
