--- a/daemon/examples/demo.rs
+++ b/daemon/examples/demo.rs
@@ -130,7 +130,7 @@
         };
         let changes = demo.changes();
         let revision = demo.apply(changes).await?;
-        demo.settle(revision).await?;
+        demo.settle(revision, demo.servers.len()).await?;
         Ok(demo)
     }
 
@@ -178,15 +178,15 @@
     async fn change(&mut self, doing: &str, change: Change) -> anyhow::Result<()> {
         let started = Instant::now();
         let revision = self.apply(vec![change]).await?;
-        self.settle(revision).await?;
+        self.settle(revision, 4).await?;
         let took = started.elapsed().as_millis();
         println!("{doing}: revision {revision} is in force everywhere after {took} ms");
         Ok(())
     }
 
-    /// Waits until all instances know each other and the revision, and admit to all backend
-    /// servers.
-    async fn settle(&self, revision: Revision) -> anyhow::Result<()> {
+    /// Waits until all instances know each other and the revision, and admit to at least so many
+    /// backend servers.
+    async fn settle(&self, revision: Revision, least: usize) -> anyhow::Result<()> {
         let deadline = Instant::now() + PATIENCE;
         while Instant::now() < deadline {
             let (mut admitting, mut ready) = (0, 0);
@@ -196,7 +196,7 @@
                 let known = status.revision >= revision && status.members.len() == ZONES.len();
                 ready += usize::from(known);
             }
-            if ready == ZONES.len() && admitting == self.servers.len() {
+            if ready == ZONES.len() && admitting >= least {
                 return Ok(());
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
--- a/decisions/src/instance.rs
+++ b/decisions/src/instance.rs
@@ -1,6 +1,7 @@
 //! The decision state of one instance.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
@@ -103,8 +104,9 @@
     pub(crate) configuration: Arc<Configuration>,
     pub(crate) tables: Tables,
     pub(crate) owners: Owners,
-    /// The membership's generation and the revision that ownership was last computed from.
-    pub(crate) refreshed: Option<(u64, Revision)>,
+    /// The membership's generation, the revision and whether the instance was settled when ownership
+    /// was last computed.
+    pub(crate) refreshed: Option<(u64, Revision, bool)>,
     pub(crate) servers: Servers,
     /// Limits of backend servers that were handed over before this instance knew that it owns them.
     pub(crate) handed: FxHashMap<BackendServerId, (Time, u32)>,
@@ -124,6 +126,7 @@
     /// When the graceful shutdown began.
     pub(crate) leaving: Option<Time>,
     pub(crate) stopped: bool,
+    pub(crate) loads_sent: Time,
     pub(crate) next_pass: Time,
     pub(crate) next_sweep: Time,
 }
@@ -159,6 +162,7 @@
             started: false,
             leaving: None,
             stopped: false,
+            loads_sent: Time::ZERO,
             next_pass: Time::ZERO,
             next_sweep: Time::ZERO,
         }
@@ -279,7 +283,15 @@
     }
 
     pub(crate) fn tick_membership(&mut self, now: Time, out: &mut Vec<Action>) {
-        let loads = self.loads();
+        let mut loads = self.loads();
+        // Loads are the largest part of a heartbeat, and not needed in each.
+        if now.since(self.loads_sent) >= LOADS_PERIOD {
+            self.loads_sent = now;
+        }
+        // For one heartbeat period, so that each member that gets heartbeats gets them once.
+        if now.since(self.loads_sent) >= self.settings.membership.heartbeat {
+            loads.clear();
+        }
         let context = Context {
             revision: self.configuration.revision,
             loads: &loads,
@@ -370,6 +382,7 @@
                         candidate.backend_server,
                         candidate.zone,
                         &self.membership,
+                        self.owners.vacant(),
                     )
                     .first()
                     .copied(),
@@ -395,6 +408,9 @@
     }
 }
 
+/// The time between two heartbeats that carry loads.
+const LOADS_PERIOD: Duration = Duration::from_secs(1);
+
 fn load_share(server: &Server) -> LoadShare {
     let used = server.running as usize + server.queue.len();
     let share = used * 256 / server.slots.max(1) as usize;
--- a/decisions/src/ownership.rs
+++ b/decisions/src/ownership.rs
@@ -21,7 +21,10 @@
 };
 use crate::instance::Instance;
 use crate::occurrence::Occurrence;
-use crate::owners::Succession;
+use crate::owners::{
+    Succession,
+    is_vacant, //
+};
 use crate::servers::{
     Phase,
     Server, //
@@ -40,6 +43,10 @@
     /// fence, so that a paused owner is fenced before its successor admits.
     #[serde(with = "humantime_serde")]
     pub takeover: Duration,
+    /// How much longer the first instance of a zone waits, so that the instances that owned the
+    /// zone's backend servers before hear of it.
+    #[serde(with = "humantime_serde")]
+    pub distance: Duration,
     /// How long a new owner reckons with flows and requests of the one before. Also how long closed
     /// flows are remembered.
     #[serde(with = "humantime_serde")]
@@ -51,6 +58,7 @@
         OwnershipSettings {
             fence: Duration::from_millis(900),
             takeover: Duration::from_millis(1500),
+            distance: Duration::from_secs(2),
             memory: Duration::from_secs(60),
         }
     }
@@ -63,11 +71,16 @@
 impl Instance {
     /// Compares the backend servers that this instance owns with those that it should own.
     pub(crate) fn refresh_owners(&mut self, now: Time, out: &mut Vec<Action>) {
-        let generation = (self.membership.generation(), self.configuration.revision);
-        if self.refreshed == Some(generation) {
+        let settled = self.is_settled();
+        let basis = (
+            self.membership.generation(),
+            self.configuration.revision,
+            settled,
+        );
+        if self.refreshed == Some(basis) {
             return;
         }
-        self.refreshed = Some(generation);
+        self.refreshed = Some(basis);
         let wanted = self.wanted_servers();
         for id in self.servers.ids() {
             if !wanted.iter().any(|(other, _)| *other == id) {
@@ -94,6 +107,9 @@
     fn wanted_servers(&mut self) -> Vec<(BackendServerId, Succession)> {
         let me = self.member.id;
         let mut wanted = Vec::new();
+        if !self.is_settled() {
+            return wanted;
+        }
         for server in self.configuration.servers.values() {
             let Some(pool) = self.configuration.pools.get(&server.pool) else {
                 continue;
@@ -103,8 +119,8 @@
             if zone.is_none_or(|zone| zone.state == ZoneState::Out) {
                 continue;
             }
-            // Another zone's backend servers matter only where that zone has no live instance.
-            if pool.zone != self.member.zone && !self.membership.live(pool.zone).is_empty() {
+            let vacant = is_vacant(pool.zone, &self.membership, self.owners.vacant());
+            if pool.zone != self.member.zone && !vacant {
                 continue;
             }
             let succession = self
@@ -249,6 +265,10 @@
                 until = until.max(granted + delay);
             }
         }
+        if self.membership.live(self.member.zone).len() <= 1 {
+            // An owner in another zone has to hear of this instance first.
+            return until.max(now + delay + self.settings.ownership.distance);
+        }
         // A live earlier owner hands over. Until it has, its lease runs.
         if known { until } else { now + delay }
     }
