--- a/daemon/tests/fleet/mod.rs
+++ b/daemon/tests/fleet/mod.rs
@@ -1,10 +1,13 @@
 //! A fleet of separate daemon processes between stand-ins.
 
+pub(crate) mod load;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{
     Child,
-    Command, //
+    Command,
+    ExitStatus, //
 };
 use std::time::{
     Duration,
@@ -15,10 +18,14 @@
 use lovagespindle_decisions::config::Change;
 use lovagespindle_decisions::ids::{
     BackendServerId,
+    FlowId,
     OperationId,
+    RequestId,
     Revision,
     ServiceId, //
 };
+use lovagespindle_decisions::peer::MemberState;
+use lovagespindle_decisions::status::Status;
 use lovagespindle_operators::client::{
     Client,
     Settings, //
@@ -32,11 +39,18 @@
     Caller,
     Fabric, //
 };
+use rustix::process::{
+    Pid,
+    Signal, //
+};
 
 pub(crate) const ZONES: [&str; 3] = ["nz-north-a", "nz-north-b", "nz-north-c"];
 pub(crate) const SERVICE: &str = "ticket-desk";
 pub(crate) const ADDRESS: ([u8; 4], u16) = ([198, 51, 100, 7], 80);
 
+/// How many requests a backend server runs at once.
+const SLOTS: u32 = 4;
+
 /// How long the fleet may take to agree on something.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -44,7 +58,29 @@
 pub(crate) struct Daemon {
     pub(crate) process: Child,
     pub(crate) callers: SocketAddr,
+    pub(crate) backend_servers: SocketAddr,
     pub(crate) operators: SocketAddr,
+    pub(crate) control: SocketAddr,
+    pub(crate) relay: SocketAddr,
+}
+
+impl Daemon {
+    /// Asks the process to shut down gracefully.
+    pub(crate) fn terminate(&self) {
+        rustix::process::kill_process(Pid::from_child(&self.process), Signal::TERM).unwrap();
+    }
+
+    /// Waits until the process has ended.
+    pub(crate) async fn ended(&mut self) -> ExitStatus {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.process.try_wait().unwrap() {
+                return status;
+            }
+            assert!(Instant::now() < deadline, "the daemon does not end");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
 }
 
 impl Drop for Daemon {
@@ -55,7 +91,7 @@
     }
 }
 
-/// Three daemons in three zones, and two backend servers in each zone.
+/// Daemons in three zones, and two backend servers in each zone.
 pub(crate) struct Fleet {
     pub(crate) platform: Platform,
     pub(crate) fabric: Fabric,
@@ -67,8 +103,14 @@
 }
 
 impl Fleet {
-    /// Starts a fleet; `network` keeps the addresses of fleets apart that run at the same time.
+    /// Starts a fleet with one daemon in each zone; `network` keeps the addresses of fleets apart
+    /// that run at the same time.
     pub(crate) async fn start(network: u8) -> Fleet {
+        Fleet::with_daemons(network, 3).await
+    }
+
+    /// Starts a fleet whose daemons take turns in the zones.
+    pub(crate) async fn with_daemons(network: u8, count: usize) -> Fleet {
         let platform = Platform::start().await.unwrap();
         let fabric = Fabric::start(u64::from(network)).await.unwrap();
         let mut servers = Vec::new();
@@ -84,8 +126,8 @@
             network,
             operation: 0,
         };
-        for (n, zone) in ZONES.iter().enumerate() {
-            let daemon = fleet.spawn(n as u8 + 1, zone);
+        for n in 0..count {
+            let daemon = fleet.spawn(n as u8 + 1, ZONES[n % 3]);
             fleet.daemons.push(daemon);
         }
         fleet.refresh().await;
@@ -124,7 +166,10 @@
         Daemon {
             process,
             callers: address(4700),
+            backend_servers: address(4730),
             operators: address(4710),
+            control: address(4720),
+            relay: address(4721),
         }
     }
 
@@ -138,12 +183,7 @@
 
     /// Applies changes through any daemon.
     pub(crate) async fn apply(&mut self, changes: Vec<Change>) -> Revision {
-        self.operation += 1;
-        let call = ApplyChanges {
-            operation: OperationId(self.operation),
-            expected: None,
-            changes,
-        };
+        let call = self.call(changes);
         let deadline = Instant::now() + PATIENCE;
         loop {
             match self.client.apply(&call).await {
@@ -158,6 +198,55 @@
         }
     }
 
+    /// Returns a new operation.
+    pub(crate) fn call(&mut self, changes: Vec<Change>) -> ApplyChanges {
+        self.operation += 1;
+        ApplyChanges {
+            operation: OperationId(self.operation),
+            expected: None,
+            changes,
+        }
+    }
+
+    /// Starts one more backend server and returns the change that adds it to a zone's pool.
+    pub(crate) async fn add_server(&mut self, zone: usize) -> Change {
+        let n = self.servers.len();
+        let server = BackendServer::start(server_settings(n as u32))
+            .await
+            .unwrap();
+        let change = put_server(n, zone, &server);
+        self.servers.push(server);
+        change
+    }
+
+    /// Returns how many requests the backend servers started more than once.
+    pub(crate) async fn doubles(&self) -> usize {
+        let mut doubles = 0;
+        for server in &self.servers {
+            doubles += server.report().await.unwrap().doubles().count();
+        }
+        doubles
+    }
+
+    /// Returns how many of these requests the backend servers started.
+    pub(crate) async fn ran(&self, requests: &[(FlowId, RequestId)]) -> usize {
+        let mut ran = 0;
+        for server in &self.servers {
+            let executions = server.report().await.unwrap().executions;
+            ran += requests
+                .iter()
+                .filter(|r| executions.contains_key(r))
+                .count();
+        }
+        ran
+    }
+
+    /// Sends packets of callers only to these daemons.
+    pub(crate) async fn spray(&self, daemons: &[usize]) {
+        let callers: Vec<_> = daemons.iter().map(|n| self.daemons[*n].callers).collect();
+        self.fabric.set_instances(&callers).await.unwrap();
+    }
+
     fn changes(&self) -> Vec<Change> {
         let mut changes = vec![Change::PutService {
             name: SERVICE.to_owned(),
@@ -176,20 +265,13 @@
             });
         }
         for (n, server) in self.servers.iter().enumerate() {
-            changes.push(Change::PutServer {
-                name: format!("server-{n}"),
-                pool: format!("pool-{}", ZONES[n % 3]),
-                address: server.address,
-                health: server.health,
-                weight: 100,
-                slots: 4,
-                connections: 2000,
-            });
+            changes.push(put_server(n, n % 3, server));
         }
         changes
     }
 
-    /// Waits until each daemon has a revision and owns backend servers that it may admit to.
+    /// Waits until each daemon has a revision and knows all the others, and until that many
+    /// backend servers may be admitted to.
     pub(crate) async fn settle(&self, revision: Revision, owned: usize) {
         let deadline = Instant::now() + PATIENCE;
         loop {
@@ -197,7 +279,9 @@
             let mut behind = 0;
             for (_, answer) in self.client.status().await {
                 match answer {
-                    Ok((status, _)) if status.revision >= revision => {
+                    Ok((status, _))
+                        if status.revision >= revision && live(&status) == self.daemons.len() =>
+                    {
                         admitting += status.owned.iter().filter(|o| !o.fenced).count();
                     }
                     _ => behind += 1,
@@ -214,6 +298,16 @@
         }
     }
 
+    /// Returns whether all backend servers may use all their slots.
+    pub(crate) async fn is_warm(&self) -> bool {
+        let answers = self.client.status().await;
+        let owned = answers.iter().flat_map(|(_, answer)| match answer {
+            Ok((status, _)) => status.owned.as_slice(),
+            Err(_) => &[],
+        });
+        owned.filter(|owned| owned.limit >= SLOTS).count() == self.servers.len()
+    }
+
     /// Starts a caller behind the fabric.
     pub(crate) async fn caller(&self, seed: u64) -> Caller {
         let settings = CallerSettings {
@@ -233,6 +327,23 @@
         .collect()
 }
 
+fn live(status: &Status) -> usize {
+    let members = status.members.iter();
+    members.filter(|m| m.state == MemberState::Live).count()
+}
+
+fn put_server(n: usize, zone: usize, server: &BackendServer) -> Change {
+    Change::PutServer {
+        name: format!("server-{n}"),
+        pool: format!("pool-{}", ZONES[zone]),
+        address: server.address,
+        health: server.health,
+        weight: 100,
+        slots: SLOTS,
+        connections: 2000,
+    }
+}
+
 fn server_settings(n: u32) -> ServerSettings {
     ServerSettings {
         server: BackendServerId(n),
--- a/decisions/src/ownership.rs
+++ b/decisions/src/ownership.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use smallvec::SmallVec;
 
 use crate::action::Action;
@@ -30,7 +33,7 @@
 use crate::warmup::Warmup;
 
 /// Settings of ownership.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct OwnershipSettings {
     /// How long after sending a heartbeat its acknowledgement by the successor lets an owner admit.
@@ -226,6 +229,7 @@
             health: Health::Serving,
             missed: 0,
             report: None,
+            surplus: SmallVec::new(),
             heard: None,
             asked: None,
             down: false,
--- a/decisions/src/servers.rs
+++ b/decisions/src/servers.rs
@@ -4,7 +4,10 @@
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use slotmap::SlotMap;
 use smallvec::SmallVec;
 
@@ -33,7 +36,7 @@
 }
 
 /// Settings of admission to a backend server.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct AdmissionSettings {
     /// Queued requests for each request that may run.
@@ -63,6 +66,9 @@
     }
 }
 
+/// How many reports have to show requests of another owner before they count.
+const SURPLUS_REPORTS: usize = 3;
+
 /// How far the ownership of a backend server has come.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Phase {
@@ -134,6 +140,9 @@
     pub missed: u32,
     /// Its latest load report.
     pub report: Option<(Time, LoadReport)>,
+    /// How many requests each of the latest reports showed beyond those of this owner, the oldest
+    /// first; at most [`SURPLUS_REPORTS`].
+    pub surplus: SmallVec<[u32; SURPLUS_REPORTS]>,
     /// When its latest packet arrived.
     pub heard: Option<Time>,
     /// When the first packet was sent that it left unanswered.
@@ -174,23 +183,34 @@
         self.warmup.limit().min(self.slots)
     }
 
-    /// Returns how many requests run there that this owner did not send, for as long as the report
-    /// that shows them counts.
+    /// Returns how many requests run there that this owner did not send, for as long as the latest
+    /// report counts.
     ///
     /// An owner that just took over does not know the requests of the one before, and in a zone
-    /// that is split within itself another owner may be sending.
+    /// that is split within itself another owner may be sending. A report and the own count are
+    /// not of the same moment, so only what all of the latest reports show counts.
     pub fn foreign(&self, settings: &AdmissionSettings, now: Time) -> u32 {
         match self.report {
-            Some((at, report)) if now.since(at) <= settings.freshness => {
-                report.requests.saturating_sub(self.running)
+            Some((at, _)) if now.since(at) <= settings.freshness => {
+                self.surplus.iter().copied().min().unwrap_or(0)
             }
             _ => 0,
         }
     }
 
-    /// Returns whether the queue has room for another request.
+    fn note_surplus(&mut self, requests: u32) {
+        if self.surplus.len() == SURPLUS_REPORTS {
+            self.surplus.remove(0);
+        }
+        self.surplus.push(requests.saturating_sub(self.running));
+    }
+
+    /// Returns whether the queue has room for another request. While an earlier owner's lease may
+    /// still run, a request fares better elsewhere.
     pub fn can_queue(&self, settings: &AdmissionSettings) -> bool {
-        !self.is_closed() && self.queue.len() < (self.limit() * settings.queue) as usize
+        self.phase == Phase::Active
+            && !self.is_closed()
+            && self.queue.len() < (self.limit() * settings.queue) as usize
     }
 
     /// Adds a request that is given up at `until`.
@@ -253,6 +273,7 @@
         {
             self.warmup.resume(u32::from(inherited.limit), self.slots);
         }
+        self.note_surplus(report.requests);
         self.report = Some((now, report));
         restarted
     }
