--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -132,6 +132,7 @@
     time decisions.membership.keep_dead: seconds(1), DAY;
     time decisions.ownership.fence: millis(10), MINUTE;
     time decisions.ownership.takeover: millis(10), MINUTE;
+    time decisions.ownership.distance: millis(0), MINUTE;
     time decisions.ownership.memory: seconds(1), HOUR;
     count decisions.admission.queue: 0, 100;
     time decisions.admission.patience: millis(1), TEN_MINUTES;
--- a/daemon/tests/settings.rs
+++ b/daemon/tests/settings.rs
@@ -64,6 +64,8 @@
         &[("links.queue", "100")],
         "links.queue is 100, but must be a power of two",
     );
+    /// Guards against durations and numbers without a range.
+    every_number_has_a_range => every_number();
     /// Guards against typing errors that leave a default in force.
     unknown_keys_are_refused => unknown_keys();
     /// Guards against a reference page that differs from the settings.
@@ -120,6 +122,14 @@
     }
 }
 
+fn every_number() {
+    for (key, value) in flat(&parse(LEAST).unwrap()) {
+        let number = value.parse::<u64>().is_ok() || humantime::parse_duration(&value).is_ok();
+        let limited = LIMITS.iter().any(|limit| limit.key == key);
+        assert!(limited || !number, "{key} = {value} has no range");
+    }
+}
+
 fn unknown_keys() {
     let tables = flat(&parse(LEAST).unwrap()).into_keys();
     let mut tables: Vec<String> = tables
