Tell the next owners of a leave before the handover

Cause: a leaving instance handed its backend servers over before the next owners had heard that it leaves. Until then both took the other for the owner and passed opening packets to and fro until the hop limit dropped them. Change: the leave goes out with early heartbeats on the same links before the handover; an opening packet that comes back is placed on the next candidate.

--- a/decisions/src/membership.rs
+++ b/decisions/src/membership.rs
@@ -231,6 +231,9 @@
         if self.own.state == MemberState::Live {
             self.own.state = MemberState::Leaving;
             self.spread_own(now);
+            // The next owners have to hear of it before backend servers are handed to them.
+            self.urgent = true;
+            self.hurried = Time::ZERO;
         }
     }
 
@@ -426,7 +429,11 @@
     /// Returns whether a zone had live members and all of them have left or are leaving. A listed
     /// member of which nothing is known may be alive.
     pub fn is_vacated(&self, zone: ZoneId) -> bool {
-        let unknown = |member: &Member| member.zone == zone && self.state(member.id).is_none();
+        let gone = |id| {
+            let entry = self.members.get(id);
+            entry.is_some_and(|e| e.update.state != MemberState::Live)
+        };
+        let unknown = |member: &Member| member.zone == zone && !gone(member.id);
         self.live(zone).is_empty()
             && self.peopled.contains(&zone)
             && !self.hints.iter().any(unknown)
--- a/decisions/src/routing.rs
+++ b/decisions/src/routing.rs
@@ -215,6 +215,8 @@
                         return;
                     }
                 }
+                // The sender takes this instance for the owner, and this one takes another for it.
+                Some(_) if relay.hops > 1 && position == usize::from(relay.candidate) => {}
                 Some(owner) => {
                     if tried.is_some() {
                         self.note_redirect(now, candidate.backend_server, position as u8, &packet);
--- a/decisions/src/upkeep.rs
+++ b/decisions/src/upkeep.rs
@@ -299,6 +299,7 @@
         out.push(Action::Note(Occurrence::Leaving));
         self.membership.leaving(now);
         self.enlist(MemberState::Leaving, out);
+        self.tick_membership(now, out);
         self.refresh_owners(now, out);
     }
 
