--- a/daemon/tests/fleet/mod.rs
+++ b/daemon/tests/fleet/mod.rs
@@ -222,8 +222,11 @@
     /// Returns how many requests the backend servers started more than once.
     pub(crate) async fn doubles(&self) -> usize {
         let mut doubles = 0;
-        for server in &self.servers {
-            doubles += server.report().await.unwrap().doubles().count();
+        for (n, server) in self.servers.iter().enumerate() {
+            for (flow, request) in server.report().await.unwrap().doubles() {
+                eprintln!("server-{n} ran request {request} of flow {flow:x?} more than once");
+                doubles += 1;
+            }
         }
         doubles
     }
--- a/decisions/src/peer.rs
+++ b/decisions/src/peer.rs
@@ -201,20 +201,6 @@
         /// The records.
         records: Vec<Record>,
     },
-    /// A new owner asks for exceptions of a backend server.
-    TakeoverQuery {
-        /// The backend server that it takes over.
-        backend_server: BackendServerId,
-    },
-    /// Exceptions whose first choice is the backend server asked for.
-    TakeoverReply {
-        /// The backend server asked for.
-        backend_server: BackendServerId,
-        /// At most [`MAX_EXCEPTIONS`].
-        exceptions: Vec<Exception>,
-        /// Whether this is the last message of the reply.
-        last: bool,
-    },
     /// Registers exceptions with the owner of their first choice.
     RegisterExceptions {
         /// At most [`MAX_EXCEPTIONS`].
--- a/instances/src/decode.rs
+++ b/instances/src/decode.rs
@@ -83,14 +83,6 @@
         Message::Changes(m) => PeerMessage::Changes {
             records: list(m.records, usize::MAX, Field::Record, record::decode)?,
         },
-        Message::TakeoverQuery(m) => PeerMessage::TakeoverQuery {
-            backend_server: BackendServerId(m.backend_server),
-        },
-        Message::TakeoverReply(m) => PeerMessage::TakeoverReply {
-            backend_server: BackendServerId(m.backend_server),
-            exceptions: exceptions(m.exceptions)?,
-            last: m.last,
-        },
         Message::RegisterExceptions(m) => PeerMessage::RegisterExceptions {
             exceptions: exceptions(m.exceptions)?,
         },
--- a/instances/src/encode.rs
+++ b/instances/src/encode.rs
@@ -88,20 +88,6 @@
         PeerMessage::Changes { records } => Message::Changes(wire::Changes {
             records: records.iter().map(record::encode).collect(),
         }),
-        PeerMessage::TakeoverQuery { backend_server } => {
-            Message::TakeoverQuery(wire::TakeoverQuery {
-                backend_server: backend_server.0,
-            })
-        }
-        PeerMessage::TakeoverReply {
-            backend_server,
-            exceptions,
-            last,
-        } => Message::TakeoverReply(wire::TakeoverReply {
-            backend_server: backend_server.0,
-            exceptions: exceptions.iter().map(exception).collect(),
-            last: *last,
-        }),
         PeerMessage::RegisterExceptions { exceptions } => {
             Message::RegisterExceptions(wire::RegisterExceptions {
                 exceptions: exceptions.iter().map(exception).collect(),
--- a/instances/tests/frame.rs
+++ b/instances/tests/frame.rs
@@ -138,7 +138,7 @@
         let revision = Revision(u64::arbitrary(g));
         let backend_server = BackendServerId(u32::arbitrary(g));
         let last = bool::arbitrary(g);
-        Any(match u8::arbitrary(g) % 14 {
+        Any(match u8::arbitrary(g) % 12 {
             0 => PeerMessage::Heartbeat {
                 sender: update(g),
                 sequence,
@@ -178,16 +178,10 @@
             8 => PeerMessage::Changes {
                 records: many(g, 10, record),
             },
-            9 => PeerMessage::TakeoverQuery { backend_server },
-            10 => PeerMessage::TakeoverReply {
-                backend_server,
-                exceptions: many(g, MAX_EXCEPTIONS, exception),
-                last,
-            },
-            11 => PeerMessage::RegisterExceptions {
+            9 => PeerMessage::RegisterExceptions {
                 exceptions: many(g, MAX_EXCEPTIONS, exception),
             },
-            12 => PeerMessage::Handover {
+            10 => PeerMessage::Handover {
                 backend_server,
                 limit: u32::arbitrary(g),
                 flows: many(g, MAX_FLOWS, flow),
--- a/scenarios/src/measure.rs
+++ b/scenarios/src/measure.rs
@@ -220,15 +220,14 @@
     const ADDRESSES: usize = 40;
     let body = match message {
         PeerMessage::Heartbeat { updates, loads, .. } => {
-            UPDATE * (1 + updates.len()) + 8 * loads.len() + 12
+            UPDATE * (1 + updates.len()) + 16 * loads.len() + 12
         }
         PeerMessage::HeartbeatAck { updates, .. } => UPDATE * (1 + updates.len()) + 12,
         PeerMessage::Members { updates } => UPDATE * updates.len(),
         PeerMessage::Changes { records } => records.iter().map(|r| 24 + 80 * r.changes.len()).sum(),
-        PeerMessage::TakeoverReply { exceptions, .. }
-        | PeerMessage::RegisterExceptions { exceptions } => 26 * exceptions.len() + 8,
+        PeerMessage::RegisterExceptions { exceptions } => 26 * exceptions.len() + 8,
         PeerMessage::Handover { flows, .. } => {
-            let sizes = flows.iter().map(|f| 26 + ADDRESSES + 16 * f.requests.len());
+            let sizes = flows.iter().map(|f| 46 + ADDRESSES + 16 * f.requests.len());
             sizes.sum::<usize>() + 12
         }
         _ => UPDATE + 12,
