Rename the package of the configuration log to store

The package that held this name is the client of the product's own configuration log, so store says what it is.

--- a/daemon/src/applier.rs
+++ b/daemon/src/applier.rs
@@ -20,8 +20,8 @@
     ApplyError,
     ReadConfiguration, //
 };
-use lovagespindle_platform::StoreError;
-use lovagespindle_platform::store::{
+use lovagespindle_store::StoreError;
+use lovagespindle_store::store::{
     Append,
     ReadAfter,
     Store, //
--- a/daemon/src/edges.rs
+++ b/daemon/src/edges.rs
@@ -52,8 +52,8 @@
     Note,
     TimeLine, //
 };
-use lovagespindle_platform::StoreError;
-use lovagespindle_platform::store::{
+use lovagespindle_store::StoreError;
+use lovagespindle_store::store::{
     self,
     Store, //
 };
--- a/daemon/src/figures.rs
+++ b/daemon/src/figures.rs
@@ -23,7 +23,7 @@
     GetRelayCounts,
     RelaySocket, //
 };
-use lovagespindle_platform::store::{
+use lovagespindle_store::store::{
     self,
     Store, //
 };
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -12,7 +12,7 @@
 use lovagespindle_instances::links::LinkSettings;
 use lovagespindle_instances::relay::RelaySettings;
 use lovagespindle_operators::timeline;
-use lovagespindle_platform as platform;
+use lovagespindle_store as platform;
 use serde::{
     Deserialize,
     Serialize, //
--- a/instances/src/record.rs
+++ b/instances/src/record.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use lovagespindle_decisions::config::Record;
-use lovagespindle_platform::codec::{
+use lovagespindle_store::codec::{
     decode_record,
     encode_record, //
 };
--- a/stand-ins/src/platform.rs
+++ b/stand-ins/src/platform.rs
@@ -9,11 +9,11 @@
 
 use bytes::Bytes;
 use lovagespindle_decisions::event::Listed;
-use lovagespindle_platform::codec::encode_list;
-use lovagespindle_platform::generated::etcdserverpb::kv_server::KvServer;
-use lovagespindle_platform::generated::etcdserverpb::lease_server::LeaseServer;
-use lovagespindle_platform::generated::etcdserverpb::watch_server::WatchServer;
-use lovagespindle_platform::keys;
+use lovagespindle_store::codec::encode_list;
+use lovagespindle_store::generated::etcdserverpb::kv_server::KvServer;
+use lovagespindle_store::generated::etcdserverpb::lease_server::LeaseServer;
+use lovagespindle_store::generated::etcdserverpb::watch_server::WatchServer;
+use lovagespindle_store::keys;
 use tokio::net::TcpListener;
 use tokio::sync::{
     mpsc,
--- a/stand-ins/src/platform_calls.rs
+++ b/stand-ins/src/platform_calls.rs
@@ -2,11 +2,11 @@
 
 use std::mem;
 
-use lovagespindle_platform::generated::etcdserverpb::kv_server::Kv;
-use lovagespindle_platform::generated::etcdserverpb::lease_server::Lease;
-use lovagespindle_platform::generated::etcdserverpb::watch_request::RequestUnion;
-use lovagespindle_platform::generated::etcdserverpb::watch_server::Watch;
-use lovagespindle_platform::generated::etcdserverpb::{
+use lovagespindle_store::generated::etcdserverpb::kv_server::Kv;
+use lovagespindle_store::generated::etcdserverpb::lease_server::Lease;
+use lovagespindle_store::generated::etcdserverpb::watch_request::RequestUnion;
+use lovagespindle_store::generated::etcdserverpb::watch_server::Watch;
+use lovagespindle_store::generated::etcdserverpb::{
     DeleteRangeRequest,
     DeleteRangeResponse,
     LeaseGrantRequest,
--- a/stand-ins/src/platform_data.rs
+++ b/stand-ins/src/platform_data.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use lovagespindle_platform::generated::etcdserverpb::compare::{
+use lovagespindle_store::generated::etcdserverpb::compare::{
     CompareResult,
     TargetUnion, //
 };
-use lovagespindle_platform::generated::etcdserverpb::range_request::SortOrder;
-use lovagespindle_platform::generated::etcdserverpb::request_op::Request;
-use lovagespindle_platform::generated::etcdserverpb::response_op::Response;
-use lovagespindle_platform::generated::etcdserverpb::{
+use lovagespindle_store::generated::etcdserverpb::range_request::SortOrder;
+use lovagespindle_store::generated::etcdserverpb::request_op::Request;
+use lovagespindle_store::generated::etcdserverpb::response_op::Response;
+use lovagespindle_store::generated::etcdserverpb::{
     Compare,
     DeleteRangeRequest,
     DeleteRangeResponse,
@@ -25,8 +25,8 @@
     TxnRequest,
     TxnResponse, //
 };
-use lovagespindle_platform::generated::mvccpb::event::EventType;
-use lovagespindle_platform::generated::mvccpb::{
+use lovagespindle_store::generated::mvccpb::event::EventType;
+use lovagespindle_store::generated::mvccpb::{
     Event,
     KeyValue, //
 };
--- a/stand-ins/src/platform_lease.rs
+++ b/stand-ins/src/platform_lease.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use lovagespindle_platform::generated::etcdserverpb::{
+use lovagespindle_store::generated::etcdserverpb::{
     LeaseGrantRequest,
     LeaseGrantResponse,
     LeaseKeepAliveResponse,
--- a/stand-ins/src/platform_watch.rs
+++ b/stand-ins/src/platform_watch.rs
@@ -1,12 +1,12 @@
 //! Watches of the stand-in platform.
 
 use bytes::Bytes;
-use lovagespindle_platform::generated::etcdserverpb::{
+use lovagespindle_store::generated::etcdserverpb::{
     ResponseHeader,
     WatchCreateRequest,
     WatchResponse, //
 };
-use lovagespindle_platform::generated::mvccpb::Event;
+use lovagespindle_store::generated::mvccpb::Event;
 use tokio::sync::mpsc;
 use tonic::Status;
 
--- a/stand-ins/tests/platform.rs
+++ b/stand-ins/tests/platform.rs
@@ -37,32 +37,32 @@
     Member,
     MemberState, //
 };
-use lovagespindle_platform::codec::{
+use lovagespindle_stand_ins::platform::Platform;
+use lovagespindle_store::codec::{
     Head,
     decode_head,
     encode_record, //
 };
-use lovagespindle_platform::generated::etcdserverpb::watch_client::WatchClient;
-use lovagespindle_platform::generated::etcdserverpb::watch_request::RequestUnion;
-use lovagespindle_platform::generated::etcdserverpb::{
+use lovagespindle_store::generated::etcdserverpb::watch_client::WatchClient;
+use lovagespindle_store::generated::etcdserverpb::watch_request::RequestUnion;
+use lovagespindle_store::generated::etcdserverpb::{
     WatchCreateRequest,
     WatchRequest,
     WatchResponse, //
 };
-use lovagespindle_platform::store::{
+use lovagespindle_store::store::{
     Append,
     GetCounts,
     ReadAfter,
     ReadList,
     Watch, //
 };
-use lovagespindle_platform::{
+use lovagespindle_store::{
     Settings,
     Store,
     StoreError,
     keys, //
 };
-use lovagespindle_stand_ins::platform::Platform;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 use tokio_stream::StreamExt;
--- a/platform/tests/codec.rs
+++ b/store/tests/codec.rs
@@ -18,7 +18,7 @@
     Revision,
     ZoneId, //
 };
-use lovagespindle_platform::codec::{
+use lovagespindle_store::codec::{
     SnapshotReader,
     decode_head,
     decode_list,
--- a/platform/tests/settings.rs
+++ b/store/tests/settings.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use lovagespindle_platform::Settings;
+use lovagespindle_store::Settings;
 
 macro_rules! cases {
     ($($(#[$doc:meta])* $name:ident => $body:expr;)*) => {
