--- /dev/null
+++ b/daemon/src/dsr/decision_log.rs
@@ -0,0 +1,135 @@
+//! Writes decisions as structured log lines: `key=value` pairs, one line a decision.
+
+use std::time::Duration;
+
+use lovagespindle_decisions::Time;
+use lovagespindle_decisions::dsr::decision::Decision;
+
+/// The most lines on flows in a second. Lines on beliefs are always written. An instance of today's
+/// size opens about 60 flows a second.
+const MAX_FLOW_LINES: u32 = 400;
+
+/// Writes decisions, at most so many on flows in a second.
+#[derive(Debug, Default)]
+pub struct DecisionLog {
+    /// The second since the start that `lines` counts.
+    second: u64,
+    lines: u32,
+    suppressed: u64,
+}
+
+impl DecisionLog {
+    /// Returns how many lines were not written.
+    pub fn suppressed(&self) -> u64 {
+        self.suppressed
+    }
+
+    /// Writes the decisions made at `now`.
+    pub fn write(&mut self, now: Time, decisions: impl Iterator<Item = Decision>) {
+        for decision in decisions {
+            if !concerns_flow(&decision) || self.admit(now) {
+                write(&decision);
+            }
+        }
+    }
+
+    fn admit(&mut self, now: Time) -> bool {
+        let second = now.since_start().as_secs();
+        if second != self.second {
+            if self.lines > MAX_FLOW_LINES {
+                let lines = self.lines - MAX_FLOW_LINES;
+                log::warn!("event=log_suppressed lines={lines}");
+            }
+            self.second = second;
+            self.lines = 0;
+        }
+        self.lines += 1;
+        let admitted = self.lines <= MAX_FLOW_LINES;
+        if !admitted {
+            self.suppressed += 1;
+        }
+        admitted
+    }
+}
+
+fn concerns_flow(decision: &Decision) -> bool {
+    matches!(
+        decision,
+        Decision::Open { .. } | Decision::Established { .. } | Decision::Refuse { .. }
+    )
+}
+
+fn millis(duration: &Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
+
+fn write(decision: &Decision) {
+    match decision {
+        Decision::Open {
+            flow,
+            cause,
+            route,
+            version,
+            server,
+            zone,
+            tier,
+            busy,
+            age,
+        } => log::info!(
+            "event=open flow={flow} cause={cause} route={route} version={version} \
+             server={server} zone={zone} tier={tier} busy={busy} news_age_ms={:.0}",
+            millis(age)
+        ),
+        Decision::Established {
+            flow,
+            server,
+            after,
+        } => log::info!(
+            "event=established flow={flow} server={server} after_ms={:.1}",
+            millis(after)
+        ),
+        Decision::Refuse {
+            flow,
+            refusal,
+            reset,
+            version,
+            age,
+        } => log::info!(
+            "event=refuse flow={flow} reason={refusal} reset={reset} version={version} \
+             news_age_ms={:.0}",
+            millis(age)
+        ),
+        Decision::Routes {
+            version,
+            count,
+            revision,
+        } => log::info!(
+            "event=routes version={version} routes={count} revision={}",
+            revision.0
+        ),
+        Decision::Listing {
+            server,
+            zone,
+            listing,
+            cold,
+            revision,
+        } => log::info!(
+            "event=listing server={server} zone={zone} listing={listing} cold_ms={:.0} revision={}",
+            millis(cold),
+            revision.0
+        ),
+        Decision::Unreadable { server, reason } => {
+            log::warn!("event=entry_unreadable server={server} reason={reason:?}");
+        }
+        Decision::Standing {
+            server,
+            zone,
+            standing,
+        } => log::info!("event=standing server={server} zone={zone} standing={standing}"),
+        Decision::Zone {
+            zone,
+            out,
+            revision,
+        } => log::info!("event=zone zone={zone} out={out} revision={}", revision.0),
+    }
+}
--- /dev/null
+++ b/daemon/src/dsr/metrics.rs
@@ -0,0 +1,1 @@
+//! Metrics as text over HTTP.
--- /dev/null
+++ b/daemon/src/dsr/mod.rs
@@ -0,0 +1,8 @@
+//! The daemon on the users' platform: direct server return behind the platform's routers.
+
+pub mod decision_log;
+pub mod follower;
+pub mod forwarder;
+pub mod metrics;
+pub mod run;
+pub mod settings;
--- /dev/null
+++ b/daemon/src/dsr/run.rs
@@ -0,0 +1,97 @@
+//! Runs one instance on the users' platform until it has shut down.
+
+use kameo::actor::{
+    ActorRef,
+    Spawn, //
+};
+use kameo::error::HookError;
+use kameo::mailbox;
+use lovagespindle_datagram::Clock;
+use lovagespindle_datagram::socket::SocketError;
+use lovagespindle_platform::readiness;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{
+    SignalKind,
+    signal, //
+};
+use tokio::sync::watch;
+
+use crate::dsr::follower::Follower;
+use crate::dsr::forwarder::{
+    Arguments,
+    Forwarder,
+    Leave, //
+};
+use crate::dsr::settings::Settings;
+use crate::run::random;
+
+/// How many messages wait for the forwarder. News of the store come one at a time.
+const MAILBOX: usize = 64;
+
+/// Why a run failed.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// The socket for packets did not open.
+    #[error(transparent)]
+    Socket(SocketError),
+    /// The address for readiness checks cannot be bound.
+    #[error("cannot listen for readiness checks: {0}")]
+    Readiness(std::io::Error),
+    /// Signals cannot be received.
+    #[error("signals cannot be received: {0}")]
+    Signals(std::io::Error),
+    /// The forwarder failed.
+    #[error("the forwarder failed")]
+    Forwarder,
+}
+
+/// Runs an instance until a signal has shut it down.
+pub async fn run(settings: Settings) -> Result<(), RunError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(RunError::Signals)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(RunError::Signals)?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(RunError::Signals)?;
+    let name = &settings.instance.name;
+    log::info!(
+        "event=start instance={name} zone={}",
+        settings.instance.zone
+    );
+    let (ready, shown) = watch::channel(false);
+    let listener = TcpListener::bind(settings.listen.readiness).await;
+    let listener = listener.map_err(RunError::Readiness)?;
+    tokio::spawn(readiness::serve(listener, shown));
+    let forwarder = start(settings.clone(), ready).await?;
+    let follower = Follower::new(settings.store.clone(), forwarder.clone());
+    tokio::spawn(follower.run());
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => log::info!("event=reload"),
+            () = forwarder.wait_for_shutdown() => return Err(RunError::Forwarder),
+        }
+    }
+    log::info!("event=stopping");
+    // Fails only if the forwarder has ended, and then there is nothing to wait for.
+    let _ = forwarder.tell(Leave).await;
+    tokio::time::sleep(settings.shutdown.linger).await;
+    log::info!("event=stop");
+    Ok(())
+}
+
+async fn start(
+    settings: Settings,
+    ready: watch::Sender<bool>,
+) -> Result<ActorRef<Forwarder>, RunError> {
+    let arguments = Arguments {
+        settings,
+        clock: Clock::start(),
+        seed: random(),
+        ready,
+    };
+    let forwarder = Forwarder::spawn_with_mailbox(arguments, mailbox::bounded(MAILBOX));
+    match forwarder.wait_for_startup_result().await {
+        Ok(()) => Ok(forwarder),
+        Err(HookError::Error(error)) => Err(RunError::Socket(error)),
+        Err(HookError::Panicked(_)) => Err(RunError::Forwarder),
+    }
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod applier;
 pub mod command;
+pub mod dsr;
 pub mod edges;
 pub mod figures;
 pub mod limits;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,15 +1,21 @@
 //! The lovagespindle daemon.
 
+use std::path::Path;
 use std::process::ExitCode;
 
 use anyhow::Context;
 use lovagespindle_daemon::command::{
     Command,
     HELP,
+    Mode,
     parse, //
 };
-use lovagespindle_daemon::settings::Settings;
+use lovagespindle_daemon::settings::{
+    Settings,
+    SettingsError, //
+};
 use lovagespindle_daemon::{
+    dsr,
     logging,
     run, //
 };
@@ -23,19 +29,18 @@
     match command {
         Command::Help => print!("{HELP}"),
         Command::Version => println!("lovagespindled {}", env!("CARGO_PKG_VERSION")),
-        Command::Check(file) => match Settings::read(&file) {
-            Ok(_) => println!("{} is valid", file.display()),
+        Command::Check(mode, file) => match check(mode, &file) {
+            Ok(()) => println!("{} is valid", file.display()),
+            Err(error) => return fail(&error.into(), 2),
+        },
+        Command::Run(Mode::Relay, file) => match Settings::read(&file) {
+            Ok(settings) => return finish(serve(settings)),
+            Err(error) => return fail(&error.into(), 2),
+        },
+        Command::Run(Mode::Dsr, file) => match dsr::settings::Settings::read(&file) {
+            Ok(settings) => return finish(serve_dsr(settings)),
             Err(error) => return fail(&error.into(), 2),
         },
-        Command::Run(file) => {
-            let settings = match Settings::read(&file) {
-                Ok(settings) => settings,
-                Err(error) => return fail(&error.into(), 2),
-            };
-            if let Err(error) = serve(settings) {
-                return fail(&error, 1);
-            }
-        }
     }
     ExitCode::SUCCESS
 }
@@ -47,6 +52,31 @@
     Ok(())
 }
 
+/// One thread: an instance on the platform has a part of one core.
+fn serve_dsr(settings: dsr::settings::Settings) -> anyhow::Result<()> {
+    logging::start(&settings.log)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("the runtime cannot be started")?;
+    runtime.block_on(dsr::run::run(settings))?;
+    Ok(())
+}
+
+fn check(mode: Mode, file: &Path) -> Result<(), SettingsError> {
+    match mode {
+        Mode::Relay => Settings::read(file).map(|_| ()),
+        Mode::Dsr => dsr::settings::Settings::read(file).map(|_| ()),
+    }
+}
+
+fn finish(result: anyhow::Result<()>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error, 1),
+    }
+}
+
 fn fail(error: &anyhow::Error, code: u8) -> ExitCode {
     eprintln!("lovagespindled: {error:#}");
     ExitCode::from(code)
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -94,6 +94,6 @@
 }
 
 /// Draws a random number from the keys that the standard library draws from the system.
-fn random() -> u64 {
+pub(crate) fn random() -> u64 {
     RandomState::new().hash_one(0)
 }
--- /dev/null
+++ b/decisions/src/dsr/beliefs.rs
@@ -0,0 +1,288 @@
+//! What an instance believes, from the news of the store: routes, backend servers and zones.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::time::Time;
+
+use super::decision::Decision;
+use super::evidence::Evidence;
+use super::news::{
+    Change,
+    Dated,
+    News,
+    Revision,
+    ServerEntry, //
+};
+use super::routes::RouteTable;
+use super::segment::{
+    Tag,
+    Target, //
+};
+use super::servers::{
+    Listing,
+    Server,
+    ServerKey,
+    Servers, //
+};
+use super::settings::Settings;
+
+/// How long a backend server that is gone is remembered, so that the packets of its flows still
+/// reach it. Flows are at most that old.
+const MEMORY: Duration = Duration::from_secs(60);
+
+/// What an instance believes.
+#[derive(Debug, Default)]
+pub(super) struct Beliefs {
+    /// The routes in force. Their version only rises.
+    pub(super) table: Option<Arc<RouteTable>>,
+    /// The backend servers.
+    pub(super) servers: Servers,
+    /// Zones that operators took out of service.
+    pub(super) out: HashSet<Arc<str>>,
+    /// When the store last said how things are.
+    pub(super) heard: Option<Time>,
+    /// The revision that the beliefs follow from.
+    revision: Revision,
+}
+
+impl Beliefs {
+    /// Returns how old the news from the store is.
+    pub(super) fn age(&self, now: Time) -> Duration {
+        now.since(self.heard.unwrap_or(Time::ZERO))
+    }
+
+    /// Returns the version of the routes in force, or zero.
+    pub(super) fn version(&self) -> u64 {
+        self.table.as_ref().map_or(0, |table| table.version)
+    }
+
+    /// Takes news over. What is older than the beliefs changes nothing.
+    pub(super) fn apply(
+        &mut self,
+        now: Time,
+        news: News,
+        settings: &Settings,
+        log: &mut Vec<Decision>,
+    ) {
+        self.heard = Some(now);
+        if news.full && news.at >= self.revision {
+            self.remove_missing(now, &news, settings, log);
+        }
+        for change in news.changes {
+            self.change(now, change, settings, log);
+        }
+        self.revision = self.revision.max(news.at);
+    }
+
+    fn change(
+        &mut self,
+        now: Time,
+        change: Dated<Change>,
+        settings: &Settings,
+        log: &mut Vec<Decision>,
+    ) {
+        let revision = change.revision;
+        match change.change {
+            Change::Routes(table) => self.put_routes(table, revision, log),
+            Change::Server(id, entry) => self.put_server(now, id, entry, revision, log),
+            Change::ServerGone(id) => self.lose_server(now, &id, revision, log),
+            Change::ServerUnreadable(id, reason) => {
+                log.push(Decision::Unreadable {
+                    server: id.clone(),
+                    reason,
+                });
+                if let Some(key) = self.servers.find(&id) {
+                    self.list(now, key, Listing::Gone(now), revision, log);
+                }
+            }
+            Change::ZoneOut(zone) => {
+                if self.out.insert(zone.clone()) {
+                    let out = true;
+                    log.push(Decision::Zone {
+                        zone,
+                        out,
+                        revision,
+                    });
+                }
+            }
+            Change::ZoneBack(zone) => self.return_zone(now, zone, revision, settings, log),
+        }
+    }
+
+    fn put_routes(&mut self, table: RouteTable, revision: Revision, log: &mut Vec<Decision>) {
+        if self.version() >= table.version {
+            return;
+        }
+        log.push(Decision::Routes {
+            version: table.version,
+            count: table.routes.len(),
+            revision,
+        });
+        self.table = Some(Arc::new(table));
+    }
+
+    fn put_server(
+        &mut self,
+        now: Time,
+        id: Arc<str>,
+        entry: ServerEntry,
+        revision: Revision,
+        log: &mut Vec<Decision>,
+    ) {
+        let known = self.servers.find(&id);
+        let known = known.and_then(|key| Some((key, self.servers.get(key)?)));
+        let key = match known {
+            Some((_, server)) if server.revision >= revision => return,
+            Some((key, server)) if server.entry.service == entry.service => key,
+            Some((key, _)) => {
+                self.servers.remove(key);
+                self.insert(id, &entry)
+            }
+            None => self.insert(id, &entry),
+        };
+        let listing = if entry.draining {
+            Listing::Draining
+        } else {
+            Listing::Ready
+        };
+        if let Some(server) = self.servers.get_mut(key) {
+            server.warm = now + entry.cold_for;
+            server.target.address = entry.address;
+            server.entry = entry;
+        }
+        self.list(now, key, listing, revision, log);
+    }
+
+    fn insert(&mut self, id: Arc<str>, entry: &ServerEntry) -> ServerKey {
+        self.servers.insert(Server {
+            id,
+            target: Target {
+                address: entry.address,
+                identity: entry.identity,
+                tag: Tag::of(entry.identity),
+            },
+            entry: entry.clone(),
+            listing: Listing::Ready,
+            revision: Revision(0),
+            warm: Time::ZERO,
+            evidence: Evidence::none(),
+            busy: 0,
+        })
+    }
+
+    /// The entry of a backend server is gone. One that was draining has left. Another may have
+    /// crashed, or its entry lapsed while it lives.
+    fn lose_server(&mut self, now: Time, id: &str, revision: Revision, log: &mut Vec<Decision>) {
+        let Some(key) = self.servers.find(id) else {
+            return;
+        };
+        let Some(server) = self.servers.get(key) else {
+            return;
+        };
+        if server.revision >= revision {
+            return;
+        }
+        let listing = match server.listing {
+            Listing::Ready => Listing::Lapsed(now),
+            Listing::Draining => Listing::Gone(now),
+            Listing::Lapsed(_) | Listing::Gone(_) => return,
+        };
+        self.list(now, key, listing, revision, log);
+    }
+
+    fn list(
+        &mut self,
+        now: Time,
+        key: ServerKey,
+        listing: Listing,
+        revision: Revision,
+        log: &mut Vec<Decision>,
+    ) {
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        server.listing = listing;
+        server.revision = server.revision.max(revision);
+        log.push(Decision::Listing {
+            server: server.id.clone(),
+            zone: server.entry.zone.clone(),
+            listing: listing.into(),
+            cold: server.warm.since(now),
+            revision,
+        });
+    }
+
+    fn return_zone(
+        &mut self,
+        now: Time,
+        zone: Arc<str>,
+        revision: Revision,
+        settings: &Settings,
+        log: &mut Vec<Decision>,
+    ) {
+        if !self.out.remove(&zone) {
+            return;
+        }
+        let keys: Vec<ServerKey> = self.servers.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            let server = self.servers.get_mut(key);
+            if let Some(server) = server.filter(|server| server.entry.zone == zone) {
+                server.warm = server.warm.max(now + settings.zone_return);
+            }
+        }
+        let out = false;
+        log.push(Decision::Zone {
+            zone,
+            out,
+            revision,
+        });
+    }
+
+    /// Everything that the store holds is known: what is missing there is gone.
+    fn remove_missing(
+        &mut self,
+        now: Time,
+        news: &News,
+        settings: &Settings,
+        log: &mut Vec<Decision>,
+    ) {
+        let mut listed = HashSet::new();
+        let mut out = HashSet::new();
+        for change in &news.changes {
+            match &change.change {
+                Change::Server(id, _) | Change::ServerUnreadable(id, _) => {
+                    listed.insert(id.clone());
+                }
+                Change::ZoneOut(zone) => {
+                    out.insert(zone.clone());
+                }
+                Change::Routes(_) | Change::ServerGone(_) | Change::ZoneBack(_) => {}
+            }
+        }
+        let missing = self.servers.iter().map(|(_, server)| server.id.clone());
+        let missing: Vec<_> = missing.filter(|id| !listed.contains(id)).collect();
+        for id in missing {
+            self.lose_server(now, &id, news.at, log);
+        }
+        let back: Vec<_> = self.out.difference(&out).cloned().collect();
+        for zone in back {
+            self.return_zone(now, zone, news.at, settings, log);
+        }
+    }
+
+    /// Gives up backend servers whose entries did not come back, and forgets old ones.
+    pub(super) fn sweep(&mut self, now: Time, settings: &Settings, log: &mut Vec<Decision>) {
+        let all: Vec<_> = self.servers.iter().map(|(k, s)| (k, s.listing)).collect();
+        for (key, listing) in all {
+            match listing {
+                Listing::Lapsed(since) if now.since(since) >= settings.lapse => {
+                    self.list(now, key, Listing::Gone(now), self.revision, log);
+                }
+                Listing::Gone(since) if now.since(since) >= MEMORY => self.servers.remove(key),
+                _ => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/dsr/decision.rs
@@ -0,0 +1,128 @@
+//! Decisions on flows and changes of belief, to be logged.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::news::Revision;
+use super::segment::FlowTuple;
+
+/// Why a flow was opened at a backend server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Cause {
+    /// It is the client's first opening packet.
+    First,
+    /// The client sent a copy, because it had no answer.
+    Copy,
+    /// The handshake did not complete in time.
+    Unanswered,
+}
+
+/// Why a packet was not forwarded.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display, strum::EnumCount, strum::EnumIter)]
+#[strum(serialize_all = "snake_case")]
+pub enum Refusal {
+    /// No route leads from its address.
+    NoRoute,
+    /// No backend server of the service may be used.
+    NoServer,
+    /// Nothing is known yet.
+    NoRoutes,
+    /// Its tag names no known backend server.
+    UnknownTag,
+}
+
+/// A decision on a flow or a change of belief.
+#[derive(Clone, Debug)]
+pub enum Decision {
+    /// An opening packet was sent to a backend server.
+    Open {
+        /// The flow.
+        flow: FlowTuple,
+        /// Why.
+        cause: Cause,
+        /// The name of the route.
+        route: Arc<str>,
+        /// The version of the routes.
+        version: u64,
+        /// The chosen backend server.
+        server: Arc<str>,
+        /// Its zone.
+        zone: Arc<str>,
+        /// How willing it is.
+        tier: &'static str,
+        /// Its flows from this instance, without this one.
+        busy: u32,
+        /// How old the news from the store is.
+        age: Duration,
+    },
+    /// A handshake completed.
+    Established {
+        /// The flow.
+        flow: FlowTuple,
+        /// The backend server.
+        server: Arc<str>,
+        /// The time since the opening packet was sent to it.
+        after: Duration,
+    },
+    /// A flow was refused.
+    Refuse {
+        /// The flow.
+        flow: FlowTuple,
+        /// Why.
+        refusal: Refusal,
+        /// Whether the client was told by a reset.
+        reset: bool,
+        /// The version of the routes.
+        version: u64,
+        /// How old the news from the store is.
+        age: Duration,
+    },
+    /// Routes came into force.
+    Routes {
+        /// Their version.
+        version: u64,
+        /// How many there are.
+        count: usize,
+        /// The revision of the store.
+        revision: Revision,
+    },
+    /// What the store says about a backend server changed.
+    Listing {
+        /// The backend server.
+        server: Arc<str>,
+        /// Its zone.
+        zone: Arc<str>,
+        /// What the store says.
+        listing: &'static str,
+        /// How long it stays cold.
+        cold: Duration,
+        /// The revision of the store.
+        revision: Revision,
+    },
+    /// The entry of a backend server cannot be used.
+    Unreadable {
+        /// The identifier in the store.
+        server: Arc<str>,
+        /// Why.
+        reason: String,
+    },
+    /// What passing packets tell about a backend server changed.
+    Standing {
+        /// The backend server.
+        server: Arc<str>,
+        /// Its zone.
+        zone: Arc<str>,
+        /// Its standing.
+        standing: &'static str,
+    },
+    /// A zone went out of service or came back.
+    Zone {
+        /// The zone.
+        zone: Arc<str>,
+        /// Whether it is out.
+        out: bool,
+        /// The revision of the store.
+        revision: Revision,
+    },
+}
--- /dev/null
+++ b/decisions/src/dsr/handshake.rs
@@ -0,0 +1,60 @@
+//! How long handshakes take, for each zone of backend servers.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::settings::Settings;
+
+/// The average takes one part in this many from each new sample, as TCP's retransmission timer.
+const MEAN_WEIGHT: u32 = 8;
+/// As above, for the deviation.
+const DEVIATION_WEIGHT: u32 = 4;
+/// Deviations that are added to the average, as in TCP's retransmission timer.
+const DEVIATIONS: u32 = 4;
+
+#[derive(Clone, Copy, Debug)]
+struct Estimate {
+    mean: Duration,
+    deviation: Duration,
+}
+
+/// Estimates of the time from an opening packet to the client's next one.
+#[derive(Debug, Default)]
+pub(super) struct Handshakes {
+    zones: HashMap<Arc<str>, Estimate>,
+}
+
+impl Handshakes {
+    /// Notes how long a handshake with a backend server of that zone took.
+    pub(super) fn note(&mut self, zone: &Arc<str>, sample: Duration, settings: &Settings) {
+        let sample = sample.min(settings.longest_wait);
+        match self.zones.get_mut(zone) {
+            Some(estimate) => {
+                let off = sample.abs_diff(estimate.mean);
+                estimate.deviation = moved(estimate.deviation, off, DEVIATION_WEIGHT);
+                estimate.mean = moved(estimate.mean, sample, MEAN_WEIGHT);
+            }
+            None => {
+                let first = Estimate {
+                    mean: sample,
+                    deviation: sample / 2,
+                };
+                self.zones.insert(zone.clone(), first);
+            }
+        }
+    }
+
+    /// Returns how long a handshake with a backend server of that zone may take.
+    pub(super) fn wait(&self, zone: &str, settings: &Settings) -> Duration {
+        let Some(estimate) = self.zones.get(zone) else {
+            return settings.longest_wait;
+        };
+        let wait = estimate.mean + estimate.deviation * DEVIATIONS;
+        wait.clamp(settings.shortest_wait, settings.longest_wait)
+    }
+}
+
+fn moved(average: Duration, sample: Duration, weight: u32) -> Duration {
+    (average * (weight - 1) + sample) / weight
+}
--- /dev/null
+++ b/decisions/src/dsr/mod.rs
@@ -0,0 +1,19 @@
+//! Direct server return: clients' packets pass through an instance, and backend servers answer the
+//! clients directly.
+//!
+//! Only opening packets are placed. They carry a tag that names the backend server, both ends
+//! return the tag on every later packet, and so any instance forwards a flow without having seen
+//! it before.
+
+pub mod balancer;
+mod beliefs;
+pub mod decision;
+mod evidence;
+mod flows;
+mod handshake;
+pub mod news;
+mod placement;
+pub mod routes;
+pub mod segment;
+mod servers;
+pub mod settings;
--- /dev/null
+++ b/decisions/src/dsr/news.rs
@@ -0,0 +1,67 @@
+//! What the platform's store tells.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::routes::RouteTable;
+
+/// A revision of the store. It rises with each change.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Revision(pub u64);
+
+/// Something that holds from a revision on.
+#[derive(Clone, Debug)]
+pub struct Dated<T> {
+    /// The revision.
+    pub revision: Revision,
+    /// What holds.
+    pub change: T,
+}
+
+/// What a backend server says of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServerEntry {
+    /// The name of its service.
+    pub service: Arc<str>,
+    /// The number that tells it apart from others at its address.
+    pub identity: u64,
+    /// Where it takes packets.
+    pub address: SocketAddrV4,
+    /// The name of its zone.
+    pub zone: Arc<str>,
+    /// How many requests it works on at once; at least 1.
+    pub slots: u32,
+    /// It is about to leave.
+    pub draining: bool,
+    /// How long it stays cold, from when it wrote this.
+    pub cold_for: Duration,
+}
+
+/// One change of what the store holds.
+#[derive(Clone, Debug)]
+pub enum Change {
+    /// Operators put routes into force.
+    Routes(RouteTable),
+    /// A backend server, by identifier, wrote its entry.
+    Server(Arc<str>, ServerEntry),
+    /// The entry of a backend server is gone.
+    ServerGone(Arc<str>),
+    /// The entry of a backend server cannot be used, for that reason.
+    ServerUnreadable(Arc<str>, String),
+    /// Operators took a zone out of service.
+    ZoneOut(Arc<str>),
+    /// Operators brought a zone back.
+    ZoneBack(Arc<str>),
+}
+
+/// What a read or a watch of the store found.
+#[derive(Clone, Debug, Default)]
+pub struct News {
+    /// The changes in the order of the store.
+    pub changes: Vec<Dated<Change>>,
+    /// The revision up to which this is complete.
+    pub at: Revision,
+    /// Whether this is everything that the store holds, rather than what changed.
+    pub full: bool,
+}
--- /dev/null
+++ b/decisions/src/dsr/placement.rs
@@ -0,0 +1,111 @@
+//! The choice of a backend server for an opening packet.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use rand_core::RngCore;
+use rand_pcg::Pcg32;
+
+use crate::time::Time;
+
+use super::evidence::Standing;
+use super::servers::{
+    Listing,
+    Server,
+    ServerKey,
+    Servers, //
+};
+use super::settings::Settings;
+
+/// How willing a backend server is to take a flow; the least is preferred.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum Tier {
+    /// Due for a try after it did not answer. Single flows test it, and lose little time.
+    Trial,
+    /// Nothing speaks against it.
+    Normal,
+    /// Its entry lapsed, or it answers again since a moment ago.
+    Doubtful,
+    /// It did not answer.
+    Suspect,
+}
+
+/// What a choice depends on besides the backend servers.
+pub(super) struct Surroundings<'a> {
+    /// The present time.
+    pub(super) now: Time,
+    /// The instance's own zone.
+    pub(super) zone: &'a str,
+    /// Zones out of service.
+    pub(super) out: &'a HashSet<Arc<str>>,
+    /// The settings.
+    pub(super) settings: &'a Settings,
+}
+
+impl Surroundings<'_> {
+    /// Returns the tier of a backend server, or nothing if it may get no flow.
+    pub(super) fn tier(&self, server: &Server) -> Option<Tier> {
+        if self.out.contains(&server.entry.zone) || self.now < server.warm {
+            return None;
+        }
+        let listed = match server.listing {
+            Listing::Ready => Tier::Normal,
+            Listing::Lapsed(_) => Tier::Doubtful,
+            Listing::Draining | Listing::Gone(_) => return None,
+        };
+        Some(match server.evidence.standing(self.now) {
+            Standing::Good => listed,
+            Standing::Recovering { .. } if server.busy > 0 => Tier::Suspect,
+            Standing::Recovering { .. } => Tier::Doubtful,
+            Standing::Suspect { retry, .. } if self.now < retry => Tier::Suspect,
+            Standing::Suspect { .. } => Tier::Trial,
+        })
+    }
+
+    /// Returns the busy flows of a backend server, with the preference for the own zone added to
+    /// others, in units of one flow per slot of the largest backend server.
+    fn cost(&self, server: &Server) -> u64 {
+        let away = *server.entry.zone != *self.zone;
+        let handicap = if away {
+            self.settings.zone_preference
+        } else {
+            0
+        };
+        u64::from(server.busy + handicap) * SLOT_SCALE / u64::from(server.entry.slots)
+    }
+}
+
+/// Costs are counted in flows per this many slots, so that they stay whole numbers.
+const SLOT_SCALE: u64 = 1 << 16;
+
+/// Returns the best backend server of a service that was not tried, with its tier.
+///
+/// The least loaded wins; equal ones are drawn at random, so that instances do not follow each
+/// other.
+pub(super) fn choose(
+    servers: &Servers,
+    service: &str,
+    tried: &[ServerKey],
+    surroundings: &Surroundings<'_>,
+    random: &mut Pcg32,
+) -> Option<(ServerKey, Tier)> {
+    let mut best: Option<(Tier, u64, u32, ServerKey)> = None;
+    for key in servers.of(service) {
+        let Some(server) = servers.get(*key).filter(|_| !tried.contains(key)) else {
+            continue;
+        };
+        let Some(mut tier) = surroundings.tier(server) else {
+            continue;
+        };
+        // A flow that waited in vain for one backend server is no test for another.
+        if tier == Tier::Trial && !tried.is_empty() {
+            tier = Tier::Suspect;
+        }
+        let rank = (tier, surroundings.cost(server), random.next_u32(), *key);
+        if best.is_none_or(|best| rank < best) {
+            best = Some(rank);
+        }
+    }
+    best.map(|(tier, _, _, key)| (key, tier))
+}
--- a/decisions/src/lib.rs
+++ b/decisions/src/lib.rs
@@ -18,6 +18,7 @@
 mod config_touch;
 mod contact;
 pub mod counter;
+pub mod dsr;
 pub mod event;
 pub mod flows;
 mod gossip;
