Keep opening packets until the first news of the store

Cause: after a restart the first packets were dropped for the 55 ms until the routes were known, and the clients waited 200 to 800 ms for their next copy. Ruled out: the read of the store itself (4 ms an answer).

--- a/daemon/src/dsr/forwarder.rs
+++ b/daemon/src/dsr/forwarder.rs
@@ -24,9 +24,9 @@
 };
 use lovagespindle_decisions::Time;
 use lovagespindle_decisions::dsr::balancer::{
+    Action,
     Balancer,
     Counts,
-    Reopen,
     Verdict, //
 };
 use lovagespindle_decisions::dsr::news::News;
@@ -96,8 +96,8 @@
     leaving: bool,
     counts: SocketCounts,
     log: DecisionLog,
-    /// Opening packets to send again; empty between events.
-    reopens: Vec<Reopen>,
+    /// Actions at hand; empty between events.
+    actions: Vec<Action>,
     incoming: Vec<u8>,
     outgoing: Vec<u8>,
 }
@@ -121,7 +121,7 @@
             leaving: false,
             counts: SocketCounts::default(),
             log: DecisionLog::default(),
-            reopens: Vec::new(),
+            actions: Vec::new(),
             // One byte more than a packet shows that a datagram is too long.
             incoming: vec![0; packet::MAX_PACKET + 1],
             outgoing: Vec::with_capacity(packet::IDENTITY + packet::MAX_PACKET),
@@ -151,9 +151,9 @@
             let drained = self.receive();
             let now = self.clock.now();
             if drained && now >= self.balancer.deadline() {
-                self.tick(now);
+                self.balancer.tick(now);
             }
-            self.log.write(now, self.balancer.take_log());
+            self.act(now);
         }
     }
 }
@@ -210,15 +210,25 @@
         }
     }
 
-    fn tick(&mut self, now: Time) {
-        let mut reopens = std::mem::take(&mut self.reopens);
-        self.balancer.tick(now, &mut reopens);
-        for reopen in reopens.drain(..) {
-            let target = &reopen.target;
-            packet::encode_open(&reopen.flow, &reopen.opening, target, &mut self.outgoing);
-            self.send(SocketAddr::V4(target.address));
+    /// Carries out what the decisions want done by themselves, and writes them down.
+    fn act(&mut self, now: Time) {
+        let mut actions = std::mem::take(&mut self.actions);
+        actions.extend(self.balancer.take_actions());
+        for action in actions.drain(..) {
+            match action {
+                Action::Open {
+                    flow,
+                    opening,
+                    target,
+                } => {
+                    packet::encode_open(&flow, &opening, &target, &mut self.outgoing);
+                    self.send(SocketAddr::V4(target.address));
+                }
+                Action::Reset(flow) => self.reset(&flow),
+            }
         }
-        self.reopens = reopens;
+        self.actions = actions;
+        self.log.write(now, self.balancer.take_log());
     }
 
     fn show_readiness(&self) {
@@ -240,7 +250,7 @@
     async fn handle(&mut self, news: News, _context: &mut Context<Self, ()>) {
         let now = self.clock.now();
         self.balancer.learn(now, news);
-        self.log.write(now, self.balancer.take_log());
+        self.act(now);
         self.show_readiness();
     }
 }
--- a/decisions/src/dsr/balancer.rs
+++ b/decisions/src/dsr/balancer.rs
@@ -51,6 +51,13 @@
 /// How long a client tries to open a flow: 1.4 s, and some time on the way.
 const OPENING: Duration = Duration::from_millis(1_600);
 
+/// How long an opening packet is kept before the first news of the store. The client gives up 800 ms
+/// after its last copy.
+const KEEP: Duration = Duration::from_millis(800);
+
+/// The most opening packets that are kept: about a second of them at ten times today's rate.
+const MAX_KEPT: usize = 1_000;
+
 /// A timer that is this late tells that the process stood still, so that nothing is known about the
 /// time that others took.
 const STALL: Duration = Duration::from_millis(30);
@@ -71,15 +78,20 @@
     Drop,
 }
 
-/// An opening packet that is sent again.
+/// What the instance does by itself, without a packet at hand.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Reopen {
-    /// The flow.
-    pub flow: FlowTuple,
-    /// The client's opening packet.
-    pub opening: Opening,
-    /// Where it goes.
-    pub target: Target,
+pub enum Action {
+    /// Sends the opening packet of a flow to a backend server.
+    Open {
+        /// The flow.
+        flow: FlowTuple,
+        /// The client's opening packet.
+        opening: Opening,
+        /// Where it goes.
+        target: Target,
+    },
+    /// Tells the client that the flow does not open.
+    Reset(FlowTuple),
 }
 
 /// Counts since the start.
@@ -111,7 +123,10 @@
     random: Pcg32,
     next_sweep: Time,
     counts: Counts,
+    /// Opening packets that came before the first news of the store, with their arrival.
+    kept: Vec<(Time, FlowTuple, Opening)>,
     log: Vec<Decision>,
+    actions: Vec<Action>,
 }
 
 impl Balancer {
@@ -126,7 +141,9 @@
             random: Pcg32::seed_from_u64(seed),
             next_sweep: Time::ZERO,
             counts: Counts::default(),
+            kept: Vec::new(),
             log: Vec::new(),
+            actions: Vec::new(),
         }
     }
 
@@ -139,6 +156,9 @@
             ..
         } = self;
         beliefs.apply(now, news, settings, log);
+        if self.beliefs.table.is_some() {
+            self.open_kept(now);
+        }
     }
 
     /// Returns whether there are routes to serve.
@@ -161,6 +181,11 @@
         self.log.drain(..)
     }
 
+    /// Takes the actions that news and ticks since the last call led to.
+    pub fn take_actions(&mut self) -> std::vec::Drain<'_, Action> {
+        self.actions.drain(..)
+    }
+
     /// Returns when the next tick is due.
     pub fn deadline(&self) -> Time {
         let flows = self.flows.deadline().unwrap_or(self.next_sweep);
@@ -196,7 +221,7 @@
             self.forget(key);
         }
         let Some(table) = self.beliefs.table.clone() else {
-            return self.refuse(now, tuple, opening, Refusal::NoRoutes);
+            return self.keep(now, tuple, opening);
         };
         let Some(route) = table.routes.get(&tuple.service) else {
             return self.refuse(now, tuple, opening, Refusal::NoRoute);
@@ -204,6 +229,32 @@
         self.open_first(now, tuple, opening, route)
     }
 
+    /// Keeps an opening packet until the first news of the store has come.
+    fn keep(&mut self, now: Time, tuple: FlowTuple, opening: Opening) -> Verdict {
+        if self.kept.len() < MAX_KEPT {
+            self.kept.push((now, tuple, opening));
+        }
+        Verdict::Drop
+    }
+
+    /// Opens the flows whose opening packets were kept and whose clients still wait.
+    fn open_kept(&mut self, now: Time) {
+        for (at, flow, opening) in std::mem::take(&mut self.kept) {
+            if now.since(at) >= KEEP {
+                continue;
+            }
+            match self.open(now, flow, opening) {
+                Verdict::Open(target) => self.actions.push(Action::Open {
+                    flow,
+                    opening,
+                    target,
+                }),
+                Verdict::Reset => self.actions.push(Action::Reset(flow)),
+                Verdict::Forward(_) | Verdict::Drop => {}
+            }
+        }
+    }
+
     fn open_first(
         &mut self,
         now: Time,
@@ -320,7 +371,7 @@
         refusal: Refusal,
     ) -> Verdict {
         // A copy may come late, after the flow was opened by way of another instance.
-        let reset = opening.copy == 0 && refusal != Refusal::NoRoutes;
+        let reset = opening.copy == 0;
         self.log.push(Decision::Refuse {
             flow,
             refusal,
@@ -454,10 +505,10 @@
     }
 
     /// Does what is due.
-    pub fn tick(&mut self, now: Time, out: &mut Vec<Reopen>) {
+    pub fn tick(&mut self, now: Time) {
         while let Some((due, key)) = self.flows.expired(now) {
             let stalled = now.since(due) >= STALL;
-            if let Some(next) = self.expire(now, key, stalled, out) {
+            if let Some(next) = self.expire(now, key, stalled) {
                 self.flows.set_timer(key, next);
             }
         }
@@ -475,13 +526,7 @@
 
     /// Handles the end of a flow's timer. Returns when the next one ends, unless the flow is
     /// forgotten.
-    fn expire(
-        &mut self,
-        now: Time,
-        key: FlowKey,
-        stalled: bool,
-        out: &mut Vec<Reopen>,
-    ) -> Option<Time> {
+    fn expire(&mut self, now: Time, key: FlowKey, stalled: bool) -> Option<Time> {
         let idle = self.beliefs.table.as_ref().map_or(LINGER, |t| t.idle);
         let flow = self.flows.get_mut(key)?;
         let quiet = now.since(flow.last);
@@ -490,7 +535,7 @@
                 self.forget(key);
                 None
             }
-            Stage::Opening(_) => Some(self.wait_over(now, key, stalled, out)),
+            Stage::Opening(_) => Some(self.wait_over(now, key, stalled)),
             Stage::Closed(_) if quiet >= LINGER => {
                 self.forget(key);
                 None
@@ -514,7 +559,7 @@
     }
 
     /// Looks whether the latest opening packet of a flow is overdue. Returns when to look again.
-    fn wait_over(&mut self, now: Time, key: FlowKey, stalled: bool, out: &mut Vec<Reopen>) -> Time {
+    fn wait_over(&mut self, now: Time, key: FlowKey, stalled: bool) -> Time {
         let later = now + self.settings.longest_wait;
         let Some(flow) = self.flows.get_mut(key) else {
             return later;
@@ -538,12 +583,12 @@
         if !stalled && server.evidence.fail(now, last.at, &self.settings) {
             self.log_standing(now, last.server);
         }
-        self.open_elsewhere(now, key, out).unwrap_or(later)
+        self.open_elsewhere(now, key).unwrap_or(later)
     }
 
     /// Sends the opening packet of a flow to a further backend server. Returns when its answer is
     /// due.
-    fn open_elsewhere(&mut self, now: Time, key: FlowKey, out: &mut Vec<Reopen>) -> Option<Time> {
+    fn open_elsewhere(&mut self, now: Time, key: FlowKey) -> Option<Time> {
         let flow = self.flows.get_mut(key)?.clone();
         let tried = flow.servers();
         if tried.len() >= MAX_TRIES {
@@ -560,7 +605,7 @@
         else {
             return None;
         };
-        out.push(Reopen {
+        self.actions.push(Action::Open {
             flow: tuple,
             opening,
             target,
--- a/decisions/src/dsr/decision.rs
+++ b/decisions/src/dsr/decision.rs
@@ -26,8 +26,6 @@
     NoRoute,
     /// No backend server of the service may be used.
     NoServer,
-    /// Nothing is known yet.
-    NoRoutes,
     /// Its tag names no known backend server.
     UnknownTag,
 }
--- a/decisions/src/dsr/placement.rs
+++ b/decisions/src/dsr/placement.rs
@@ -63,21 +63,22 @@
         })
     }
 
-    /// Returns the busy flows of a backend server, with the preference for the own zone added to
-    /// others, in units of one flow per slot of the largest backend server.
+    /// Returns the busy flows of a backend server for each of its slots, with the preference for the
+    /// own zone added to others, in parts of [`COST_SCALE`].
     fn cost(&self, server: &Server) -> u64 {
         let away = *server.entry.zone != *self.zone;
         let handicap = if away {
             self.settings.zone_preference
         } else {
-            0
+            0.0
         };
-        u64::from(server.busy + handicap) * SLOT_SCALE / u64::from(server.entry.slots)
+        let flows = f64::from(server.busy) + handicap;
+        (flows * COST_SCALE) as u64 / u64::from(server.entry.slots)
     }
 }
 
-/// Costs are counted in flows per this many slots, so that they stay whole numbers.
-const SLOT_SCALE: u64 = 1 << 16;
+/// Costs are whole numbers, so that they have an order; this keeps differences of slots apart.
+const COST_SCALE: f64 = 65_536.0;
 
 /// Returns the best backend server of a service that was not tried, with its tier.
 ///
--- a/decisions/src/dsr/settings.rs
+++ b/decisions/src/dsr/settings.rs
@@ -36,9 +36,9 @@
     /// be cold and have yet to say so in their next heartbeat.
     #[serde(with = "humantime_serde")]
     pub zone_return: Duration,
-    /// How many more flows a backend server of the own zone may have than one of another zone
+    /// How many more busy flows a backend server of the own zone may have than one of another zone
     /// before the other is preferred.
-    pub zone_preference: u32,
+    pub zone_preference: f64,
     /// A flow without packets for this long counts as pausing and occupies no slot.
     #[serde(with = "humantime_serde")]
     pub pause: Duration,
@@ -56,7 +56,7 @@
             recovery: Duration::from_secs(2),
             lapse: Duration::from_millis(2_200),
             zone_return: Duration::from_millis(1_500),
-            zone_preference: 1,
+            zone_preference: 1.5,
             pause: Duration::from_secs(1),
             max_flows: 200_000,
         }
--- /dev/null
+++ b/decisions/tests/dsr_rig/mod.rs
@@ -0,0 +1,277 @@
+//! Drives the decisions of one instance in zone `a` with clients that open flows, and backend
+//! servers that answer within 10 ms.
+
+use std::collections::HashMap;
+use std::net::{
+    Ipv4Addr,
+    SocketAddrV4, //
+};
+use std::time::Duration;
+
+use lovagespindle_decisions::Time;
+use lovagespindle_decisions::dsr::balancer::{
+    Action,
+    Balancer,
+    Verdict, //
+};
+use lovagespindle_decisions::dsr::decision::Decision;
+use lovagespindle_decisions::dsr::news::{
+    Change,
+    Dated,
+    News,
+    Revision,
+    ServerEntry, //
+};
+use lovagespindle_decisions::dsr::routes::{
+    Route,
+    RouteTable,
+    Share, //
+};
+use lovagespindle_decisions::dsr::segment::{
+    FlowTuple,
+    Opening,
+    Segment,
+    SegmentKind,
+    Tag,
+    Target, //
+};
+use lovagespindle_decisions::dsr::settings::Settings;
+
+/// Names each case and says what it guards against.
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident => $body:block)*) => {
+        $($(#[$doc])* #[test] fn $name() $body)*
+    };
+}
+pub(crate) use cases;
+
+pub(crate) fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// The address that clients open flows to.
+const SERVICE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+
+/// How long a client takes to answer a handshake.
+const HANDSHAKE: Duration = ms_const(10);
+
+const fn ms_const(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub(crate) fn entry(number: u64, zone: &str) -> ServerEntry {
+    ServerEntry {
+        service: "desk".into(),
+        identity: number,
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number as u8), 8080),
+        zone: zone.into(),
+        slots: 4,
+        draining: false,
+        cold_for: Duration::ZERO,
+    }
+}
+
+pub(crate) fn table(version: u64, services: &[SocketAddrV4]) -> RouteTable {
+    let route = Route {
+        name: "view".into(),
+        shares: [Share {
+            service: "desk".into(),
+            weight: 1.0,
+        }]
+        .into(),
+        timeout: ms(1_500),
+    };
+    RouteTable {
+        version,
+        routes: services.iter().map(|at| (*at, route.clone())).collect(),
+        services: HashMap::new(),
+        idle: ms(15_000),
+    }
+}
+
+pub(crate) struct Rig {
+    balancer: Balancer,
+    now: Time,
+    revision: u64,
+    port: u16,
+    silent: Vec<u64>,
+    opens: HashMap<u64, u32>,
+    last: Option<FlowTuple>,
+}
+
+impl Rig {
+    pub(crate) fn new() -> Rig {
+        Rig {
+            balancer: Balancer::new("a", Settings::default(), 1),
+            now: Time::from_millis(1_000),
+            revision: 0,
+            port: 1_000,
+            silent: Vec::new(),
+            opens: HashMap::new(),
+            last: None,
+        }
+    }
+
+    /// Serves one route with two backend servers in zone `a` and two in `b`.
+    pub(crate) fn serve(&mut self) {
+        self.serve_only(&[(1, "a"), (2, "a"), (3, "b"), (4, "b")]);
+    }
+
+    pub(crate) fn serve_only(&mut self, servers: &[(u64, &str)]) {
+        self.revision += 1;
+        let servers = servers.iter().map(|(number, zone)| {
+            Change::Server(format!("s{number}").into(), entry(*number, zone))
+        });
+        let routes = Change::Routes(table(1, &[SERVICE]));
+        let revision = Revision(self.revision);
+        let dated = |change| Dated { revision, change };
+        let news = News {
+            changes: servers.chain([routes]).map(dated).collect(),
+            at: revision,
+            full: true,
+        };
+        self.balancer.learn(self.now, news);
+    }
+
+    pub(crate) fn learn(&mut self, change: Change) {
+        self.revision += 1;
+        let revision = Revision(self.revision);
+        let news = News {
+            changes: vec![Dated { revision, change }],
+            at: revision,
+            full: false,
+        };
+        self.balancer.learn(self.now, news);
+    }
+
+    /// Lets time pass, with ticks when they are due.
+    pub(crate) fn wait(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        loop {
+            let due = self.balancer.deadline();
+            if due > end {
+                break;
+            }
+            self.now = self.now.max(due);
+            self.balancer.tick(self.now);
+        }
+        self.now = end;
+    }
+
+    pub(crate) fn actions(&mut self) -> Vec<Action> {
+        self.balancer.take_actions().collect()
+    }
+
+    pub(crate) fn next_segment(&mut self) -> Segment {
+        self.port += 1;
+        let flow = FlowTuple {
+            client: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), self.port),
+            service: SERVICE,
+        };
+        Segment {
+            flow,
+            kind: SegmentKind::Open(Opening {
+                sequence: 7,
+                copy: 0,
+                checksum: 9,
+            }),
+            tag: Tag::default(),
+            sequence: 7,
+            length: 0,
+        }
+    }
+
+    pub(crate) fn packet(&mut self, segment: &Segment) -> Verdict {
+        self.last = Some(segment.flow);
+        self.balancer.packet(self.now, segment)
+    }
+
+    pub(crate) fn try_open(&mut self) -> Verdict {
+        let segment = self.next_segment();
+        self.packet(&segment)
+    }
+
+    /// Opens a flow that must find a backend server.
+    pub(crate) fn open(&mut self) -> Target {
+        match self.try_open() {
+            Verdict::Open(target) => target,
+            other => panic!("the flow does not open: {other:?}"),
+        }
+    }
+
+    /// Opens a flow and returns the zone of its backend server.
+    pub(crate) fn zone_of_open(&mut self) -> &'static str {
+        self.balancer.take_log().for_each(drop);
+        self.open();
+        let opened = self
+            .balancer
+            .take_log()
+            .find_map(|decision| match decision {
+                Decision::Open { zone, .. } => Some(zone),
+                _ => None,
+            });
+        match opened.as_deref() {
+            Some("a") => "a",
+            Some("b") => "b",
+            other => panic!("zone {other:?}"),
+        }
+    }
+
+    /// Sends a packet on the last flow that was opened.
+    pub(crate) fn data(&mut self, tag: Tag) -> Verdict {
+        let flow = self.last.expect("a flow was opened");
+        self.balancer
+            .packet(self.now, &segment(flow, SegmentKind::Data, tag))
+    }
+
+    pub(crate) fn silence(&mut self, server: u64) {
+        self.silent.push(server);
+    }
+
+    pub(crate) fn unsilence(&mut self, server: u64) {
+        self.silent.retain(|silent| *silent != server);
+    }
+
+    /// Returns how many opening packets a backend server got in plays.
+    pub(crate) fn opens(&self, server: u64) -> u32 {
+        self.opens.get(&server).copied().unwrap_or(0)
+    }
+
+    /// Opens flows one after the other. Those at backend servers that are not silent are answered
+    /// and closed.
+    pub(crate) fn play(&mut self, flows: u32, pause: Duration) {
+        for _ in 0..flows {
+            let target = self.open();
+            let flow = self.last.expect("a flow was opened");
+            self.answer(flow, target);
+            self.wait(pause);
+            for action in self.actions() {
+                if let Action::Open { flow, target, .. } = action {
+                    self.answer(flow, target);
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, flow: FlowTuple, target: Target) {
+        *self.opens.entry(target.identity).or_default() += 1;
+        if self.silent.contains(&target.identity) {
+            return;
+        }
+        self.now = self.now + HANDSHAKE;
+        for kind in [SegmentKind::Data, SegmentKind::Finish] {
+            self.balancer
+                .packet(self.now, &segment(flow, kind, target.tag));
+        }
+    }
+}
+
+fn segment(flow: FlowTuple, kind: SegmentKind, tag: Tag) -> Segment {
+    Segment {
+        flow,
+        kind,
+        tag,
+        sequence: 8,
+        length: 0,
+    }
+}
