Send clients elsewhere while an instance is cut off

The routers send a zone's clients to the next zone when none of its instances is ready. Ruled out: resets, which leave the clients at the same instances.

--- a/daemon/src/dsr/decision_log.rs
+++ b/daemon/src/dsr/decision_log.rs
@@ -131,5 +131,13 @@
             out,
             revision,
         } => log::info!("event=zone zone={zone} out={out} revision={}", revision.0),
+        Decision::Probe { count, age } => {
+            log::info!("event=probe count={count} news_age_ms={:.0}", millis(age));
+        }
+        Decision::Isolation {
+            isolated,
+            probed,
+            reached,
+        } => log::warn!("event=isolation isolated={isolated} probed={probed} reached={reached}"),
     }
 }
--- a/daemon/src/dsr/forwarder.rs
+++ b/daemon/src/dsr/forwarder.rs
@@ -40,6 +40,10 @@
 use tokio::sync::watch;
 
 use crate::dsr::decision_log::DecisionLog;
+use crate::dsr::prober::{
+    self,
+    Probed, //
+};
 use crate::dsr::settings::Settings;
 
 /// The most packets that are handled between two looks at the mailbox and the clock.
@@ -96,6 +100,8 @@
     leaving: bool,
     counts: SocketCounts,
     log: DecisionLog,
+    /// Probes report to it.
+    myself: WeakActorRef<Forwarder>,
     /// Actions at hand; empty between events.
     actions: Vec<Action>,
     incoming: Vec<u8>,
@@ -108,7 +114,7 @@
 
     async fn on_start(
         arguments: Arguments,
-        _forwarder: ActorRef<Forwarder>,
+        forwarder: ActorRef<Forwarder>,
     ) -> Result<Forwarder, SocketError> {
         let settings = arguments.settings;
         let address = settings.listen.clients;
@@ -121,6 +127,7 @@
             leaving: false,
             counts: SocketCounts::default(),
             log: DecisionLog::default(),
+            myself: forwarder.downgrade(),
             actions: Vec::new(),
             // One byte more than a packet shows that a datagram is too long.
             incoming: vec![0; packet::MAX_PACKET + 1],
@@ -225,6 +232,7 @@
                     self.send(SocketAddr::V4(target.address));
                 }
                 Action::Reset(flow) => self.reset(&flow),
+                Action::Probe(addresses) => prober::start(addresses, self.myself.clone()),
             }
         }
         self.actions = actions;
@@ -255,6 +263,17 @@
     }
 }
 
+impl Message<Probed> for Forwarder {
+    type Reply = ();
+
+    async fn handle(&mut self, probed: Probed, _context: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        self.balancer.probed(now, probed.probed, probed.reached);
+        self.act(now);
+        self.show_readiness();
+    }
+}
+
 impl Message<Leave> for Forwarder {
     type Reply = ();
 
--- a/daemon/src/dsr/mod.rs
+++ b/daemon/src/dsr/mod.rs
@@ -4,5 +4,6 @@
 pub mod follower;
 pub mod forwarder;
 pub mod metrics;
+pub mod prober;
 pub mod run;
 pub mod settings;
--- a/decisions/src/dsr/balancer.rs
+++ b/decisions/src/dsr/balancer.rs
@@ -1,9 +1,13 @@
 //! The decisions of one instance: where each packet goes.
 
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand_core::SeedableRng;
+use rand_core::{
+    RngCore,
+    SeedableRng, //
+};
 use rand_pcg::Pcg32;
 use smallvec::SmallVec;
 
@@ -24,6 +28,10 @@
     Try, //
 };
 use super::handshake::Handshakes;
+use super::isolation::{
+    Isolation,
+    PROBES, //
+};
 use super::news::News;
 use super::placement::{
     Surroundings,
@@ -38,7 +46,10 @@
     SegmentKind,
     Target, //
 };
-use super::servers::ServerKey;
+use super::servers::{
+    Listing,
+    ServerKey, //
+};
 use super::settings::Settings;
 
 /// The most backend servers that get the opening packet of one flow. Clients send two copies.
@@ -79,7 +90,7 @@
 }
 
 /// What the instance does by itself, without a packet at hand.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Action {
     /// Sends the opening packet of a flow to a backend server.
     Open {
@@ -92,6 +103,9 @@
     },
     /// Tells the client that the flow does not open.
     Reset(FlowTuple),
+    /// Tries to connect to the backend servers at these addresses, and reports how many it reached
+    /// with [`Balancer::probed`].
+    Probe(SmallVec<[SocketAddrV4; 4]>),
 }
 
 /// Counts since the start.
@@ -120,6 +134,7 @@
     beliefs: Beliefs,
     flows: Flows,
     handshakes: Handshakes,
+    isolation: Isolation,
     random: Pcg32,
     next_sweep: Time,
     counts: Counts,
@@ -138,6 +153,7 @@
             beliefs: Beliefs::default(),
             flows: Flows::default(),
             handshakes: Handshakes::default(),
+            isolation: Isolation::default(),
             random: Pcg32::seed_from_u64(seed),
             next_sweep: Time::ZERO,
             counts: Counts::default(),
@@ -161,9 +177,10 @@
         }
     }
 
-    /// Returns whether there are routes to serve.
+    /// Returns whether clients are served here as well as elsewhere: routes are known, and the
+    /// instance is not cut off.
     pub fn is_ready(&self) -> bool {
-        self.beliefs.table.is_some()
+        self.beliefs.table.is_some() && !self.isolation.is_isolated()
     }
 
     /// Returns the counts since the start.
@@ -189,7 +206,8 @@
     /// Returns when the next tick is due.
     pub fn deadline(&self) -> Time {
         let flows = self.flows.deadline().unwrap_or(self.next_sweep);
-        flows.min(self.next_sweep)
+        let probes = self.isolation.deadline().unwrap_or(self.next_sweep);
+        flows.min(probes).min(self.next_sweep)
     }
 
     /// Decides on a packet of a client.
@@ -278,6 +296,9 @@
             busy: true,
         };
         self.counts.opened += 1;
+        if tier == Tier::Suspect {
+            self.doubt(now);
+        }
         self.send_opening(now, None, flow, server, tier, Cause::First)
     }
 
@@ -382,6 +403,49 @@
         if reset { Verdict::Reset } else { Verdict::Drop }
     }
 
+    /// A flow found no backend server that answers: looks whether the instance is cut off.
+    fn doubt(&mut self, now: Time) {
+        if self.isolation.doubt(now) {
+            self.probe(now);
+        }
+    }
+
+    /// Probes some backend servers of other zones.
+    fn probe(&mut self, now: Time) {
+        let remote = self.beliefs.servers.iter().map(|(_, server)| server);
+        let remote = remote.filter(|s| s.entry.zone != self.zone && s.listing == Listing::Ready);
+        let mut addresses: Vec<_> = remote.map(|server| server.target.address).collect();
+        let mut chosen = SmallVec::new();
+        while chosen.len() < PROBES && !addresses.is_empty() {
+            let index = self.random.next_u32() as usize % addresses.len();
+            chosen.push(addresses.swap_remove(index));
+        }
+        if chosen.is_empty() {
+            return;
+        }
+        self.log.push(Decision::Probe {
+            count: chosen.len(),
+            age: self.beliefs.age(now),
+        });
+        self.actions.push(Action::Probe(chosen));
+    }
+
+    /// Takes the outcome of probes: how many there were, and how many reached a backend server.
+    pub fn probed(&mut self, now: Time, probed: usize, reached: usize) {
+        if !self.isolation.conclude(probed, reached) {
+            return;
+        }
+        let isolated = self.isolation.is_isolated();
+        self.log.push(Decision::Isolation {
+            isolated,
+            probed,
+            reached,
+        });
+        if !isolated {
+            self.beliefs.servers.retry_all(now);
+        }
+    }
+
     fn choose(
         &mut self,
         now: Time,
@@ -512,6 +576,9 @@
                 self.flows.set_timer(key, next);
             }
         }
+        if self.isolation.deadline().is_some_and(|due| now >= due) {
+            self.doubt(now);
+        }
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP;
             let Balancer {
@@ -594,10 +661,11 @@
         if tried.len() >= MAX_TRIES {
             return None;
         }
-        let (server, tier) = self.choose(now, &flow.service, &tried)?;
-        if tier == Tier::Suspect {
+        let choice = self.choose(now, &flow.service, &tried);
+        let Some((server, tier)) = choice.filter(|(_, tier)| *tier != Tier::Suspect) else {
+            self.doubt(now);
             return None;
-        }
+        };
         let (tuple, opening) = (flow.tuple, flow.opening);
         self.counts.reopened += 1;
         let cause = Cause::Unanswered;
--- a/decisions/src/dsr/decision.rs
+++ b/decisions/src/dsr/decision.rs
@@ -123,4 +123,20 @@
         /// The revision of the store.
         revision: Revision,
     },
+    /// Backend servers of other zones are probed, as a flow found none that answers.
+    Probe {
+        /// How many.
+        count: usize,
+        /// How old the news from the store is.
+        age: Duration,
+    },
+    /// The instance is cut off from other zones, or no longer.
+    Isolation {
+        /// Whether it is cut off.
+        isolated: bool,
+        /// How many backend servers were probed.
+        probed: usize,
+        /// How many of them were reached.
+        reached: usize,
+    },
 }
--- a/decisions/src/dsr/evidence.rs
+++ b/decisions/src/dsr/evidence.rs
@@ -99,6 +99,13 @@
         };
     }
 
+    /// Lets the next flow try a suspect backend server, as the path to it has changed.
+    pub(super) fn retry(&mut self, now: Time) {
+        if let Standing::Suspect { retry, .. } = &mut self.standing {
+            *retry = now.min(*retry);
+        }
+    }
+
     /// Notes that a flow tries a suspect backend server. The next one waits for the outcome.
     pub(super) fn tried(&mut self, now: Time) {
         if let Standing::Suspect { retry, pause } = self.standing {
--- a/decisions/src/dsr/mod.rs
+++ b/decisions/src/dsr/mod.rs
@@ -11,6 +11,7 @@
 mod evidence;
 mod flows;
 mod handshake;
+mod isolation;
 pub mod news;
 mod placement;
 pub mod routes;
--- a/decisions/src/dsr/servers.rs
+++ b/decisions/src/dsr/servers.rs
@@ -97,6 +97,13 @@
         self.arena.iter()
     }
 
+    /// Lets the next flows try all suspect backend servers.
+    pub(super) fn retry_all(&mut self, now: Time) {
+        for server in self.arena.values_mut() {
+            server.evidence.retry(now);
+        }
+    }
+
     /// Adds a backend server. Of two with one tag, the later takes the tag.
     pub(super) fn insert(&mut self, server: Server) -> ServerKey {
         let id = server.id.clone();
--- a/decisions/tests/dsr.rs
+++ b/decisions/tests/dsr.rs
@@ -201,4 +201,53 @@
         rig.serve();
         assert!(rig.actions().is_empty());
     }
+
+    /// Guards against clients that stay with an instance that is cut off from all backend servers.
+    cut_off_instance_is_not_ready => {
+        let mut rig = Rig::new();
+        rig.serve();
+        rig.learn(Change::ZoneOut("a".into()));
+        rig.silence(3);
+        rig.silence(4);
+        rig.play(20, ms(20));
+        assert!(rig.probes() > 0);
+        assert!(rig.is_ready());
+        rig.probed(2, 0);
+        assert!(!rig.is_ready());
+        let before = rig.probes();
+        rig.wait(ms(1_000));
+        assert!(rig.probes() > before);
+        rig.probed(2, 1);
+        assert!(rig.is_ready());
+    }
+
+    /// Guards against an instance that sends its clients away while a service is down everywhere.
+    dead_service_does_not_isolate => {
+        let mut rig = Rig::new();
+        rig.serve();
+        for server in 1..=4 {
+            rig.silence(server);
+        }
+        rig.play(40, ms(20));
+        rig.probed(2, 2);
+        assert!(rig.is_ready());
+    }
+
+    /// Guards against clients that wait for backend servers after a cut has healed.
+    healed_instance_tries_at_once => {
+        let mut rig = Rig::new();
+        rig.serve();
+        rig.learn(Change::ZoneOut("a".into()));
+        rig.silence(3);
+        rig.silence(4);
+        rig.play(200, ms(20));
+        rig.probed(2, 0);
+        rig.unsilence(3);
+        rig.unsilence(4);
+        rig.probed(2, 2);
+        let before = rig.opens(3) + rig.opens(4);
+        rig.play(2, ms(20));
+        assert_eq!(rig.opens(3) + rig.opens(4) - before, 2);
+        assert_eq!(rig.standing_changes(), 2);
+    }
 }
--- a/decisions/tests/dsr_rig/mod.rs
+++ b/decisions/tests/dsr_rig/mod.rs
@@ -97,6 +97,7 @@
     silent: Vec<u64>,
     opens: HashMap<u64, u32>,
     last: Option<FlowTuple>,
+    probes: u32,
 }
 
 impl Rig {
@@ -109,6 +110,7 @@
             silent: Vec::new(),
             opens: HashMap::new(),
             last: None,
+            probes: 0,
         }
     }
 
@@ -159,7 +161,32 @@
     }
 
     pub(crate) fn actions(&mut self) -> Vec<Action> {
-        self.balancer.take_actions().collect()
+        let actions: Vec<_> = self.balancer.take_actions().collect();
+        let probes = actions.iter().filter(|a| matches!(a, Action::Probe(_)));
+        self.probes += probes.count() as u32;
+        actions
+    }
+
+    /// Returns how many rounds of probes were asked for.
+    pub(crate) fn probes(&mut self) -> u32 {
+        self.actions();
+        self.probes
+    }
+
+    pub(crate) fn probed(&mut self, probed: usize, reached: usize) {
+        self.balancer.take_log().for_each(drop);
+        self.balancer.probed(self.now, probed, reached);
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        self.balancer.is_ready()
+    }
+
+    /// Returns how often the standing of a backend server changed since the last probes.
+    pub(crate) fn standing_changes(&mut self) -> usize {
+        let log = self.balancer.take_log();
+        log.filter(|d| matches!(d, Decision::Standing { .. }))
+            .count()
     }
 
     pub(crate) fn next_segment(&mut self) -> Segment {
