--- a/decisions/src/dsr/balancer.rs
+++ b/decisions/src/dsr/balancer.rs
@@ -234,6 +234,7 @@
             if let Some(flow) = self.flows.get_mut(key).filter(same) {
                 flow.last = now;
                 flow.opening = opening;
+                self.blame(now, key);
                 return self.open_copy(now, key);
             }
             self.forget(key);
@@ -338,6 +339,7 @@
                 server,
                 at: now,
                 overdue: false,
+                blamed: false,
             });
         }
         match key {
@@ -646,13 +648,42 @@
             return due;
         }
         last.overdue = true;
-        let last = *last;
-        if !stalled && server.evidence.fail(now, last.at, &self.settings) {
-            self.log_standing(now, last.server);
+        let answerable = last.at <= flow.last;
+        if !stalled {
+            self.blame(now, key);
+        }
+        if !answerable {
+            return later;
         }
         self.open_elsewhere(now, key).unwrap_or(later)
     }
 
+    /// Blames backend servers for overdue answers. The client was there after the opening packet was
+    /// sent, or it sent the packet then; else it may have turned away after a reset from another one.
+    fn blame(&mut self, now: Time, key: FlowKey) {
+        let Some(flow) = self.flows.get_mut(key) else {
+            return;
+        };
+        let Stage::Opening(tries) = &mut flow.stage else {
+            return;
+        };
+        let mut changed: SmallVec<[ServerKey; 2]> = SmallVec::new();
+        for silent in tries.iter_mut() {
+            if !silent.overdue || silent.blamed || silent.at > flow.last {
+                continue;
+            }
+            silent.blamed = true;
+            if let Some(server) = self.beliefs.servers.get_mut(silent.server)
+                && server.evidence.fail(now, silent.at, &self.settings)
+            {
+                changed.push(silent.server);
+            }
+        }
+        for server in changed {
+            self.log_standing(now, server);
+        }
+    }
+
     /// Sends the opening packet of a flow to a further backend server. Returns when its answer is
     /// due.
     fn open_elsewhere(&mut self, now: Time, key: FlowKey) -> Option<Time> {
--- a/decisions/src/dsr/evidence.rs
+++ b/decisions/src/dsr/evidence.rs
@@ -21,6 +21,8 @@
         retry: Time,
         /// The pause after the next failure.
         pause: Duration,
+        /// When the flow that tries it was opened.
+        trial: Option<Time>,
     },
     /// It answers again, and takes one flow at a time until then.
     Recovering {
@@ -83,8 +85,8 @@
                 self.suspect(now, settings.first_retry, settings);
                 true
             }
-            Standing::Suspect { retry, pause } => {
-                if opened + settings.longest_wait >= retry {
+            Standing::Suspect { pause, trial, .. } => {
+                if trial == Some(opened) {
                     self.suspect(now, pause, settings);
                 }
                 false
@@ -96,6 +98,7 @@
         self.standing = Standing::Suspect {
             retry: now + pause,
             pause: (pause * 2).min(settings.longest_retry),
+            trial: None,
         };
     }
 
@@ -108,10 +111,11 @@
 
     /// Notes that a flow tries a suspect backend server. The next one waits for the outcome.
     pub(super) fn tried(&mut self, now: Time) {
-        if let Standing::Suspect { retry, pause } = self.standing {
+        if let Standing::Suspect { pause, .. } = self.standing {
             self.standing = Standing::Suspect {
-                retry: retry.max(now + pause),
+                retry: now + pause,
                 pause,
+                trial: Some(now),
             };
         }
     }
--- a/decisions/src/dsr/flows.rs
+++ b/decisions/src/dsr/flows.rs
@@ -32,6 +32,8 @@
     pub(super) at: Time,
     /// Whether the wait for an answer is over.
     pub(super) overdue: bool,
+    /// Whether the backend server was blamed for its silence.
+    pub(super) blamed: bool,
 }
 
 /// How far a flow is.
--- a/decisions/tests/dsr.rs
+++ b/decisions/tests/dsr.rs
@@ -250,4 +250,30 @@
         assert_eq!(rig.opens(3) + rig.opens(4) - before, 2);
         assert_eq!(rig.standing_changes(), 2);
     }
+
+    /// Guards against distrust of all backend servers when one resets its flows: the client turned
+    /// away, so that nobody answers the further openings of the flow.
+    reset_flows_accuse_only_their_server => {
+        let mut rig = Rig::new();
+        rig.serve();
+        rig.close(1);
+        rig.play(60, ms(60));
+        assert_eq!(rig.standing_changes(), 1);
+    }
+
+    /// Guards against trust in a backend server that leaves the copies of a client unanswered.
+    copies_accuse_all_that_were_silent => {
+        let mut rig = Rig::new();
+        rig.serve();
+        for server in 1..=4 {
+            rig.silence(server);
+        }
+        for _ in 0..4 {
+            rig.open();
+            rig.wait(ms(190));
+            rig.copy();
+            rig.wait(ms(190));
+        }
+        assert!(rig.standing_changes() >= 2);
+    }
 }
--- a/decisions/tests/dsr_rig/mod.rs
+++ b/decisions/tests/dsr_rig/mod.rs
@@ -95,6 +95,9 @@
     revision: u64,
     port: u16,
     silent: Vec<u64>,
+    /// Backend servers that are not listening: they reset the flow, and its client turns away.
+    closed: Vec<u64>,
+    ended: Vec<FlowTuple>,
     opens: HashMap<u64, u32>,
     last: Option<FlowTuple>,
     probes: u32,
@@ -108,6 +111,8 @@
             revision: 0,
             port: 1_000,
             silent: Vec::new(),
+            closed: Vec::new(),
+            ended: Vec::new(),
             opens: HashMap::new(),
             last: None,
             probes: 0,
@@ -182,7 +187,7 @@
         self.balancer.is_ready()
     }
 
-    /// Returns how often the standing of a backend server changed since the last probes.
+    /// Returns how often the standing of a backend server changed since the last call.
     pub(crate) fn standing_changes(&mut self) -> usize {
         let log = self.balancer.take_log();
         log.filter(|d| matches!(d, Decision::Standing { .. }))
@@ -226,6 +231,18 @@
         }
     }
 
+    /// Sends a copy of the opening packet of the last flow that was opened.
+    pub(crate) fn copy(&mut self) {
+        let flow = self.last.expect("a flow was opened");
+        let opening = Opening {
+            sequence: 7,
+            copy: 1,
+            checksum: 9,
+        };
+        let copy = segment(flow, SegmentKind::Open(opening), Tag::default());
+        self.balancer.packet(self.now, &copy);
+    }
+
     /// Opens a flow and returns the zone of its backend server.
     pub(crate) fn zone_of_open(&mut self) -> &'static str {
         self.balancer.take_log().for_each(drop);
@@ -259,6 +276,10 @@
         self.silent.retain(|silent| *silent != server);
     }
 
+    pub(crate) fn close(&mut self, server: u64) {
+        self.closed.push(server);
+    }
+
     /// Returns how many opening packets a backend server got in plays.
     pub(crate) fn opens(&self, server: u64) -> u32 {
         self.opens.get(&server).copied().unwrap_or(0)
@@ -282,7 +303,10 @@
 
     fn answer(&mut self, flow: FlowTuple, target: Target) {
         *self.opens.entry(target.identity).or_default() += 1;
-        if self.silent.contains(&target.identity) {
+        if self.closed.contains(&target.identity) {
+            self.ended.push(flow);
+        }
+        if self.silent.contains(&target.identity) || self.ended.contains(&flow) {
             return;
         }
         self.now = self.now + HANDSHAKE;
