Log to standard output without blocking, and serve metrics

Lines go through a bounded queue to a thread that writes them; lines that find it full are counted. Counters and histograms of handshakes and store answers are served as text at the metrics address.

--- a/daemon/src/dsr/decision_log.rs
+++ b/daemon/src/dsr/decision_log.rs
@@ -3,30 +3,49 @@
 use std::time::Duration;
 
 use lovagespindle_decisions::Time;
+use lovagespindle_decisions::dsr::counts::{
+    Count,
+    Counts, //
+};
 use lovagespindle_decisions::dsr::decision::Decision;
 
+use crate::dsr::metrics::Latencies;
+
 /// The most lines on flows in a second. Lines on beliefs are always written. An instance of today's
 /// size opens about 60 flows a second.
 const MAX_FLOW_LINES: u32 = 400;
 
 /// Writes decisions, at most so many on flows in a second.
-#[derive(Debug, Default)]
 pub struct DecisionLog {
+    latencies: Latencies,
     /// The second since the start that `lines` counts.
     second: u64,
     lines: u32,
-    suppressed: u64,
+    counts: Counts,
 }
 
 impl DecisionLog {
+    /// Creates a log that also records the latencies among the decisions.
+    pub fn new(latencies: Latencies) -> DecisionLog {
+        DecisionLog {
+            latencies,
+            second: 0,
+            lines: 0,
+            counts: Counts::default(),
+        }
+    }
+
     /// Returns how many lines were not written.
-    pub fn suppressed(&self) -> u64 {
-        self.suppressed
+    pub fn counts(&self) -> &Counts {
+        &self.counts
     }
 
     /// Writes the decisions made at `now`.
     pub fn write(&mut self, now: Time, decisions: impl Iterator<Item = Decision>) {
         for decision in decisions {
+            if let Decision::Established { after, .. } = &decision {
+                self.latencies.record_handshake(*after);
+            }
             if !concerns_flow(&decision) || self.admit(now) {
                 write(&decision);
             }
@@ -46,7 +65,7 @@
         self.lines += 1;
         let admitted = self.lines <= MAX_FLOW_LINES;
         if !admitted {
-            self.suppressed += 1;
+            self.counts.add(Count::SuppressedLines);
         }
         admitted
     }
--- a/daemon/src/dsr/forwarder.rs
+++ b/daemon/src/dsr/forwarder.rs
@@ -26,9 +26,12 @@
 use lovagespindle_decisions::dsr::balancer::{
     Action,
     Balancer,
-    Counts,
     Verdict, //
 };
+use lovagespindle_decisions::dsr::counts::{
+    Count,
+    Counts, //
+};
 use lovagespindle_decisions::dsr::news::News;
 use lovagespindle_decisions::dsr::segment::{
     FlowTuple,
@@ -40,6 +43,7 @@
 use tokio::sync::watch;
 
 use crate::dsr::decision_log::DecisionLog;
+use crate::dsr::metrics::Latencies;
 use crate::dsr::prober::{
     self,
     Probed, //
@@ -57,33 +61,22 @@
     pub clock: Clock,
     /// Feeds the random numbers of the decisions.
     pub seed: u64,
+    /// Records handshakes.
+    pub latencies: Latencies,
     /// Told whether the instance takes packets.
     pub ready: watch::Sender<bool>,
 }
 
-/// Datagrams that the socket did not take or that are no packets.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct SocketCounts {
-    /// Datagrams that are no packets.
-    pub malformed: u64,
-    /// Datagrams that could not be sent.
-    pub unsent: u64,
-}
-
 /// Asks for the counts.
 pub struct GetCounts;
 
 /// The present counts.
 #[derive(Clone, Copy, Debug)]
 pub struct AllCounts {
-    /// Counts of the decisions.
-    pub balancer: Counts,
-    /// Counts of the socket.
-    pub socket: SocketCounts,
+    /// Counts since the start.
+    pub counts: Counts,
     /// Flows with a record.
     pub flows: usize,
-    /// Log lines that were not written.
-    pub suppressed: u64,
 }
 
 /// The process is about to end.
@@ -98,7 +91,8 @@
     clock: Clock,
     ready: watch::Sender<bool>,
     leaving: bool,
-    counts: SocketCounts,
+    /// Counts of the socket.
+    counts: Counts,
     log: DecisionLog,
     /// Probes report to it.
     myself: WeakActorRef<Forwarder>,
@@ -125,8 +119,8 @@
             clock: arguments.clock,
             ready: arguments.ready,
             leaving: false,
-            counts: SocketCounts::default(),
-            log: DecisionLog::default(),
+            counts: Counts::default(),
+            log: DecisionLog::new(arguments.latencies),
             myself: forwarder.downgrade(),
             actions: Vec::new(),
             // One byte more than a packet shows that a datagram is too long.
@@ -173,7 +167,7 @@
                 Ok(length) => self.handle(length),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return true,
                 // An earlier datagram was refused by its receiver; nothing is lost here.
-                Err(_) => self.counts.unsent += 1,
+                Err(_) => self.counts.add(Count::Unsent),
             }
         }
         false
@@ -183,7 +177,7 @@
         let now = self.clock.now();
         match packet::decode(&self.incoming[..length]) {
             Ok(segment) => self.forward(now, &segment, length),
-            Err(_) => self.counts.malformed += 1,
+            Err(_) => self.counts.add(Count::Malformed),
         }
     }
 
@@ -213,7 +207,7 @@
     /// Sends what is encoded. A datagram that the system does not take is lost, as on the way.
     fn send(&mut self, to: SocketAddr) {
         if self.socket.try_send_to(&self.outgoing, to).is_err() {
-            self.counts.unsent += 1;
+            self.counts.add(Count::Unsent);
         }
     }
 
@@ -287,11 +281,10 @@
     type Reply = Result<AllCounts, kameo::error::Infallible>;
 
     async fn handle(&mut self, _: GetCounts, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let counts = self.balancer.counts().plus(&self.counts);
         Ok(AllCounts {
-            balancer: self.balancer.counts(),
-            socket: self.counts,
+            counts: counts.plus(self.log.counts()),
             flows: self.balancer.flows(),
-            suppressed: self.log.suppressed(),
         })
     }
 }
--- a/daemon/src/dsr/run.rs
+++ b/daemon/src/dsr/run.rs
@@ -1,5 +1,8 @@
 //! Runs one instance on the users' platform until it has shut down.
 
+use std::net::SocketAddrV4;
+
+use hyper::StatusCode;
 use kameo::actor::{
     ActorRef,
     Spawn, //
@@ -10,7 +13,7 @@
 use lovagespindle_datagram::socket::SocketError;
 use lovagespindle_decisions::dsr::peers::Peers;
 use lovagespindle_instances::news_link;
-use lovagespindle_platform::readiness;
+use lovagespindle_platform::READINESS_PATH;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{
     SignalKind,
@@ -26,6 +29,15 @@
     Forwarder,
     Leave, //
 };
+use crate::dsr::http;
+use crate::dsr::metrics::{
+    self,
+    GetPage,
+    Instruments,
+    Latencies,
+    Metrics,
+    MetricsError, //
+};
 use crate::dsr::peer_follower::PeerFollower;
 use crate::dsr::publisher::Publisher;
 use crate::dsr::settings::Settings;
@@ -47,6 +59,9 @@
     /// The address for questions of other instances cannot be bound.
     #[error("cannot listen for other instances: {0}")]
     Peers(std::io::Error),
+    /// Metrics cannot be served.
+    #[error(transparent)]
+    Metrics(#[from] MetricsError),
     /// Signals cannot be received.
     #[error("signals cannot be received: {0}")]
     Signals(std::io::Error),
@@ -68,10 +83,18 @@
     let (ready, shown) = watch::channel(false);
     let listener = TcpListener::bind(settings.listen.readiness).await;
     let listener = listener.map_err(RunError::Readiness)?;
-    tokio::spawn(readiness::serve(listener, shown));
+    tokio::spawn(http::serve(listener, READINESS_PATH, move || {
+        let ready = *shown.borrow();
+        async move { readiness(ready) }
+    }));
+    let instruments = Instruments::new(name)?;
+    let latencies = instruments.latencies.clone();
     let clock = Clock::start();
-    let forwarder = start(settings.clone(), clock, ready).await?;
-    follow(&settings, clock, &forwarder).await?;
+    let forwarder = start(settings.clone(), clock, ready, latencies.clone()).await?;
+    follow(&settings, clock, &forwarder, latencies).await?;
+    if let Some(address) = settings.listen.metrics {
+        show_metrics(address, instruments, &forwarder).await?;
+    }
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -88,11 +111,39 @@
     Ok(())
 }
 
+fn readiness(ready: bool) -> http::Page {
+    let status = match ready {
+        true => StatusCode::OK,
+        false => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    (status, String::new())
+}
+
+async fn show_metrics(
+    address: SocketAddrV4,
+    instruments: Instruments,
+    forwarder: &ActorRef<Forwarder>,
+) -> Result<(), RunError> {
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(MetricsError::Listen)?;
+    let metrics = Metrics::spawn(Metrics::new(instruments, forwarder.clone()));
+    tokio::spawn(http::serve(listener, metrics::PATH, move || {
+        let metrics = metrics.clone();
+        async move {
+            let page = metrics.ask(GetPage).await;
+            page.unwrap_or((StatusCode::SERVICE_UNAVAILABLE, String::new()))
+        }
+    }));
+    Ok(())
+}
+
 /// Starts the tasks that learn of the store and tell other instances.
 async fn follow(
     settings: &Settings,
     clock: Clock,
     forwarder: &ActorRef<Forwarder>,
+    latencies: Latencies,
 ) -> Result<(), RunError> {
     let listener = TcpListener::bind(settings.listen.peers).await;
     let listener = listener.map_err(RunError::Peers)?;
@@ -109,7 +160,13 @@
     let (me, seeds) = (peers.me(), peers.seeds().to_vec());
     let publisher = Publisher::new(clock, peers, forwarder.clone(), ordered, asked, shown);
     let settings = settings.store.clone();
-    let stores = StoreFollower::new(settings, orders.clone(), known.clone(), connected);
+    let stores = StoreFollower::new(
+        settings,
+        orders.clone(),
+        known.clone(),
+        connected,
+        latencies,
+    );
     let others = PeerFollower::new(me, seeds, orders, known, store);
     tokio::spawn(news_link::serve(listener, questions));
     tokio::spawn(publisher.run());
@@ -122,12 +179,14 @@
     settings: Settings,
     clock: Clock,
     ready: watch::Sender<bool>,
+    latencies: Latencies,
 ) -> Result<ActorRef<Forwarder>, RunError> {
     let arguments = Arguments {
         settings,
         clock,
         seed: random(),
         ready,
+        latencies,
     };
     let forwarder = Forwarder::spawn_with_mailbox(arguments, mailbox::bounded(MAILBOX));
     match forwarder.wait_for_startup_result().await {
--- a/daemon/src/dsr/store_follower.rs
+++ b/daemon/src/dsr/store_follower.rs
@@ -17,10 +17,12 @@
     watch, //
 };
 use tokio::time::{
+    Instant,
     sleep,
     timeout, //
 };
 
+use crate::dsr::metrics::Latencies;
 use crate::dsr::publisher::Order;
 use crate::dsr::settings::StoreSettings;
 
@@ -47,6 +49,7 @@
     /// Whether the history after what is known is lost.
     compacted: bool,
     pause: Duration,
+    latencies: Latencies,
 }
 
 impl StoreFollower {
@@ -56,6 +59,7 @@
         publisher: mpsc::Sender<Order>,
         known: watch::Receiver<Option<Revision>>,
         connected: watch::Sender<bool>,
+        latencies: Latencies,
     ) -> StoreFollower {
         StoreFollower {
             pause: settings.first_pause,
@@ -64,6 +68,7 @@
             known,
             connected,
             compacted: false,
+            latencies,
         }
     }
 
@@ -109,7 +114,9 @@
 
     async fn read(&mut self, store: &mut Store) -> Result<Revision, FollowError> {
         let patience = self.settings.answer_timeout;
+        let asked = Instant::now();
         let mut page = timeout(patience, store.read(None)).await??;
+        self.latencies.record_store(asked.elapsed());
         // Later pages may be newer; changes since the first are watched for.
         let at = page.at;
         let mut documents = page.documents;
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod edges;
 pub mod figures;
 pub mod limits;
+pub mod log_writer;
 pub mod logging;
 pub mod metrics;
 pub mod occurrences;
--- a/daemon/src/logging.rs
+++ b/daemon/src/logging.rs
@@ -1,13 +1,9 @@
-//! Logs: lines only for changes of state; what happens often is counted.
+//! Logs: structured lines to standard output, without holding up the threads that log.
 
 use std::path::PathBuf;
 
 use log::LevelFilter;
 use log4rs::append::Append;
-use log4rs::append::console::{
-    ConsoleAppender,
-    Target, //
-};
 use log4rs::append::file::FileAppender;
 use log4rs::config::{
     Appender,
@@ -22,13 +18,15 @@
     Serialize, //
 };
 
+use crate::log_writer::QueueAppender;
+
 /// Settings of logs.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LogSettings {
     /// The least level that is written: `off`, `error`, `warn`, `info`, `debug` or `trace`.
     pub level: LevelFilter,
-    /// Where lines go; standard error if no file is named.
+    /// Where lines go; standard output if no file is named.
     pub file: Option<PathBuf>,
     /// How lines are written.
     pub format: LogFormat,
@@ -66,6 +64,9 @@
         /// Why.
         source: std::io::Error,
     },
+    /// The thread that writes cannot be started.
+    #[error("the log thread cannot be started: {0}")]
+    Thread(#[from] std::io::Error),
     /// The logger can't be set up.
     #[error("logger cannot be set up: {0}")]
     Setup(#[from] log4rs::config::runtime::ConfigErrors),
@@ -88,10 +89,7 @@
 fn appender(settings: &LogSettings) -> Result<Box<dyn Append>, LogError> {
     let encoder = encoder(settings.format);
     let Some(file) = &settings.file else {
-        let console = ConsoleAppender::builder()
-            .target(Target::Stderr)
-            .encoder(encoder);
-        return Ok(Box::new(console.build()));
+        return Ok(Box::new(QueueAppender::start(encoder)?));
     };
     let appender = FileAppender::builder().encoder(encoder).build(file);
     let appender = appender.map_err(|source| LogError::Open {
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -71,6 +71,7 @@
 }
 
 fn finish(result: anyhow::Result<()>) -> ExitCode {
+    log::logger().flush();
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(&error, 1),
--- a/decisions/src/dsr/balancer.rs
+++ b/decisions/src/dsr/balancer.rs
@@ -14,6 +14,10 @@
 use crate::time::Time;
 
 use super::beliefs::Beliefs;
+use super::counts::{
+    Count,
+    Counts, //
+};
 use super::decision::{
     Cause,
     Decision,
@@ -108,25 +112,6 @@
     Probe(SmallVec<[SocketAddrV4; 4]>),
 }
 
-/// Counts since the start.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Counts {
-    /// Packets of clients.
-    pub packets: u64,
-    /// Packets forwarded on open flows.
-    pub forwarded: u64,
-    /// Flows opened.
-    pub opened: u64,
-    /// Opening packets sent to a further backend server.
-    pub reopened: u64,
-    /// Handshakes completed.
-    pub established: u64,
-    /// Flows reset.
-    pub resets: u64,
-    /// Packets dropped.
-    pub drops: u64,
-}
-
 /// The decisions of one instance.
 pub struct Balancer {
     zone: Arc<str>,
@@ -212,7 +197,7 @@
 
     /// Decides on a packet of a client.
     pub fn packet(&mut self, now: Time, segment: &Segment) -> Verdict {
-        self.counts.packets += 1;
+        self.counts.add(Count::Packets);
         let verdict = match segment.kind {
             SegmentKind::Open(opening) => self.open(now, segment.flow, opening),
             SegmentKind::Data | SegmentKind::Finish | SegmentKind::Abort => {
@@ -220,10 +205,10 @@
             }
         };
         match verdict {
-            Verdict::Forward(_) => self.counts.forwarded += 1,
+            Verdict::Forward(_) => self.counts.add(Count::Forwarded),
             Verdict::Open(_) => {}
-            Verdict::Reset => self.counts.resets += 1,
-            Verdict::Drop => self.counts.drops += 1,
+            Verdict::Reset => self.counts.add(Count::Resets),
+            Verdict::Drop => self.counts.add(Count::Drops),
         }
         verdict
     }
@@ -296,7 +281,7 @@
             last: now,
             busy: true,
         };
-        self.counts.opened += 1;
+        self.counts.add(Count::Opened);
         if tier == Tier::Suspect {
             self.doubt(now);
         }
@@ -372,7 +357,7 @@
         };
         match choice {
             Some((server, tier)) => {
-                self.counts.reopened += 1;
+                self.counts.add(Count::Reopened);
                 self.send_opening(now, Some(key), flow, server, tier, Cause::Copy)
             }
             None => self.repeat(&flow),
@@ -537,7 +522,7 @@
                 other.busy = other.busy.saturating_sub(1);
             }
         }
-        self.counts.established += 1;
+        self.counts.add(Count::Established);
         let Some(answered) = self.beliefs.servers.get_mut(server) else {
             return;
         };
@@ -698,7 +683,7 @@
             return None;
         };
         let (tuple, opening) = (flow.tuple, flow.opening);
-        self.counts.reopened += 1;
+        self.counts.add(Count::Reopened);
         let cause = Cause::Unanswered;
         let Verdict::Open(target) = self.send_opening(now, Some(key), flow, server, tier, cause)
         else {
--- a/decisions/src/dsr/mod.rs
+++ b/decisions/src/dsr/mod.rs
@@ -8,6 +8,7 @@
 pub mod archive;
 pub mod balancer;
 mod beliefs;
+pub mod counts;
 pub mod decision;
 mod evidence;
 mod flows;
