Let one instance of each zone follow the store for the others

Instances of a zone agree on one by rendezvous hashing; the others ask it, take its word while that is at most 1.5 s old, and otherwise call the store themselves. Changes that come within 100 ms share a watch.

--- a/daemon/src/dsr/peer_follower.rs
+++ b/daemon/src/dsr/peer_follower.rs
@@ -1,4 +1,5 @@
-//! Follows another instance while the store is not reached, and keeps the instances in touch.
+//! Follows other instances: the one of the zone that follows the store for all, or any while the
+//! store is out of reach.
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -19,6 +20,7 @@
     watch, //
 };
 use tokio::time::{
+    Instant,
     sleep,
     timeout, //
 };
@@ -33,8 +35,17 @@
 /// the most distant zones.
 const PATIENCE: Duration = Duration::from_millis(400);
 
-/// How long another instance may wait for news before it replies.
-const WAIT: Duration = Duration::from_secs(1);
+/// How long another instance may wait for news before it replies. With [`PATIENCE`], it bounds how
+/// long the silence of the instance that is followed goes unnoticed.
+const WAIT: Duration = Duration::from_millis(500);
+
+/// The oldest word of the store that is taken from the instance that follows it. A watch confirms
+/// once a second, and a slow store answers within a quarter of a second. With the wait for replies,
+/// changes are known in 2 s, and 3 s are allowed.
+const MAX_AGE: Duration = Duration::from_millis(1_500);
+
+/// The time between two looks at which instance follows the store.
+const ELECTION: Duration = Duration::from_secs(1);
 
 /// The time between two exchanges that only keep the instances in touch.
 const REFRESH: Duration = Duration::from_secs(5);
@@ -42,14 +53,28 @@
 /// The pause after an instance did not answer.
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// Asks other instances.
+/// Why an instance is not followed any more.
+#[derive(Debug, thiserror::Error)]
+enum FollowError {
+    #[error(transparent)]
+    News(#[from] NewsError),
+    #[error("its word of the store is {0:?} old")]
+    Old(Duration),
+    #[error("it has no word of the store")]
+    Empty,
+}
+
+/// Follows other instances.
 pub struct PeerFollower {
     me: Peer,
     seeds: Vec<SocketAddrV4>,
     publisher: mpsc::Sender<Order>,
     known: watch::Receiver<Option<Revision>>,
+    /// Says whether this instance follows the store itself.
+    duty: watch::Sender<bool>,
     /// Whether the store is reached.
     store: watch::Receiver<bool>,
+    refreshed: Instant,
 }
 
 impl PeerFollower {
@@ -59,6 +84,7 @@
         seeds: Vec<SocketAddrV4>,
         publisher: mpsc::Sender<Order>,
         known: watch::Receiver<Option<Revision>>,
+        duty: watch::Sender<bool>,
         store: watch::Receiver<bool>,
     ) -> PeerFollower {
         PeerFollower {
@@ -66,26 +92,39 @@
             seeds,
             publisher,
             known,
+            duty,
             store,
+            refreshed: Instant::now(),
         }
     }
 
-    /// Asks other instances until the publisher has ended.
+    /// Follows other instances until the publisher has ended.
     pub async fn run(mut self) {
         for seed in self.seeds.clone() {
             self.meet(seed).await;
         }
         while !self.publisher.is_closed() {
-            // Ends early when the store is lost; the wait below looks again.
-            let lost = timeout(REFRESH, self.store.wait_for(|reached| !reached)).await;
-            if lost.map(drop).is_err() {
-                if let Some(address) = self.pick().await {
-                    self.meet(address).await;
-                }
-                continue;
+            // Ends early when the store is lost.
+            let lost = timeout(ELECTION, self.store.wait_for(|reached| !reached)).await;
+            if lost.map(drop).is_ok() {
+                sleep(GRACE).await;
+                self.replace_store().await;
+            } else if let Some(leader) = self.ask_publisher(Order::Lead).await {
+                self.obey_leader(leader).await;
+            } else {
+                self.refresh().await;
             }
-            sleep(GRACE).await;
-            self.follow_until_store().await;
+        }
+    }
+
+    /// Keeps in touch with a seed or another instance from time to time.
+    async fn refresh(&mut self) {
+        if self.refreshed.elapsed() < REFRESH {
+            return;
+        }
+        self.refreshed = Instant::now();
+        if let Some(address) = self.ask_publisher(Order::Pick).await {
+            self.meet(address).await;
         }
     }
 
@@ -96,18 +135,47 @@
             self.ask(&mut client, Wanted::Peers, Duration::ZERO).await
         };
         if let Err(error) = met.await {
-            self.fail(address, &error).await;
+            self.fail(address, &error.into()).await;
+        }
+    }
+
+    /// Takes the store's news from the instance that follows it, until its word is old or it fails.
+    /// Then this instance follows the store itself.
+    async fn obey_leader(&mut self, leader: SocketAddrV4) {
+        let followed = self.follow_leader(leader).await;
+        self.duty.send_replace(true);
+        if let Err(error) = followed {
+            self.fail(leader, &error).await;
         }
     }
 
-    async fn follow_until_store(&mut self) {
+    async fn follow_leader(&mut self, leader: SocketAddrV4) -> Result<(), FollowError> {
+        let mut client = NewsClient::connect(leader, PATIENCE).await?;
+        while self.ask_publisher(Order::Lead).await == Some(leader) {
+            let age = self
+                .ask_news(&mut client)
+                .await?
+                .ok_or(FollowError::Empty)?;
+            if age > MAX_AGE {
+                return Err(FollowError::Old(age));
+            }
+            if self.duty.send_replace(false) {
+                log::info!("event=leader_followed peer={leader}");
+            }
+            self.refresh().await;
+        }
+        Ok(())
+    }
+
+    /// Follows other instances while the store is out of reach.
+    async fn replace_store(&mut self) {
         while !*self.store.borrow() && !self.publisher.is_closed() {
-            let Some(address) = self.pick().await else {
+            let Some(address) = self.ask_publisher(Order::Pick).await else {
                 sleep(PAUSE).await;
                 continue;
             };
             if let Err(error) = self.follow(address).await {
-                self.fail(address, &error).await;
+                self.fail(address, &error.into()).await;
                 sleep(PAUSE).await;
             }
         }
@@ -118,18 +186,23 @@
         let mut client = NewsClient::connect(address, PATIENCE).await?;
         log::info!("event=peer_followed peer={address}");
         while !*self.store.borrow() {
-            let known = self.known.borrow().unwrap_or_default();
-            self.ask(&mut client, Wanted::Since(known), WAIT).await?;
+            self.ask_news(&mut client).await?;
         }
         Ok(())
     }
 
+    /// Asks for news since what is known. Returns how old the other's word of the store is.
+    async fn ask_news(&self, client: &mut NewsClient) -> Result<Option<Duration>, NewsError> {
+        let known = self.known.borrow().unwrap_or_default();
+        self.ask(client, Wanted::Since(known), WAIT).await
+    }
+
     async fn ask(
         &self,
         client: &mut NewsClient,
         wanted: Wanted,
         wait: Duration,
-    ) -> Result<(), NewsError> {
+    ) -> Result<Option<Duration>, NewsError> {
         let request = Request {
             wanted,
             wait,
@@ -137,13 +210,14 @@
         };
         let reply = client.ask(&request).await?;
         self.tell(Order::Meet(reply.peers)).await;
+        let age = reply.bulletin.as_ref().map(|bulletin| bulletin.age);
         if let Some(bulletin) = reply.bulletin {
             self.tell(Order::Learn(bulletin)).await;
         }
-        Ok(())
+        Ok(age)
     }
 
-    async fn fail(&self, address: SocketAddrV4, error: &NewsError) {
+    async fn fail(&self, address: SocketAddrV4, error: &FollowError) {
         log::info!(
             "event=peer_lost peer={address} reason={:?}",
             error.to_string()
@@ -151,10 +225,13 @@
         self.tell(Order::Failed(address)).await;
     }
 
-    async fn pick(&self) -> Option<SocketAddrV4> {
-        let (reply, picked) = oneshot::channel();
-        self.tell(Order::Pick(reply)).await;
-        picked.await.ok().flatten()
+    async fn ask_publisher(
+        &self,
+        order: impl FnOnce(oneshot::Sender<Option<SocketAddrV4>>) -> Order,
+    ) -> Option<SocketAddrV4> {
+        let (reply, answer) = oneshot::channel();
+        self.tell(order(reply)).await;
+        answer.await.ok().flatten()
     }
 
     /// Fails only if the publisher has ended, which the caller finds out.
--- a/daemon/src/dsr/publisher.rs
+++ b/daemon/src/dsr/publisher.rs
@@ -1,6 +1,7 @@
 //! The task that owns what is known of the store. It passes news on to the forwarder and to other
 //! instances that ask.
 
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use kameo::actor::ActorRef;
@@ -44,9 +45,11 @@
     /// What another instance tells of others.
     Meet(Vec<Peer>),
     /// Another instance did not answer.
-    Failed(std::net::SocketAddrV4),
-    /// Asks for an instance to follow.
-    Pick(oneshot::Sender<Option<std::net::SocketAddrV4>>),
+    Failed(SocketAddrV4),
+    /// Asks for the instance of the zone that follows the store, if that is another one.
+    Lead(oneshot::Sender<Option<SocketAddrV4>>),
+    /// Asks for an instance to follow while the store is out of reach.
+    Pick(oneshot::Sender<Option<SocketAddrV4>>),
 }
 
 /// A request of another instance that waits for news.
@@ -114,6 +117,7 @@
             Order::Meet(peers) => self.peers.learn(now, &peers),
             Order::Failed(address) => self.peers.fail(now, address),
             // The asker may have given up.
+            Order::Lead(reply) => drop(reply.send(self.peers.leader(now))),
             Order::Pick(reply) => drop(reply.send(self.peers.pick(now))),
         }
     }
--- a/daemon/src/dsr/run.rs
+++ b/daemon/src/dsr/run.rs
@@ -150,6 +150,7 @@
     let (orders, ordered) = mpsc::channel(MAILBOX);
     let (questions, asked) = mpsc::channel(MAILBOX);
     let (shown, known) = watch::channel(None);
+    let (duty, on_duty) = watch::channel(true);
     let (connected, store) = watch::channel(false);
     let peers = Peers::new(
         settings.listen.peers,
@@ -164,10 +165,11 @@
         settings,
         orders.clone(),
         known.clone(),
+        on_duty,
         connected,
         latencies,
     );
-    let others = PeerFollower::new(me, seeds, orders, known, store);
+    let others = PeerFollower::new(me, seeds, orders, known, duty, store);
     tokio::spawn(news_link::serve(listener, questions));
     tokio::spawn(publisher.run());
     tokio::spawn(stores.run());
--- a/daemon/src/dsr/settings.rs
+++ b/daemon/src/dsr/settings.rs
@@ -68,13 +68,18 @@
     /// Its address (HTTP).
     pub address: SocketAddrV4,
     /// How long a watch waits for changes. With `answer_timeout`, it bounds how long a silent
-    /// connection goes unnoticed: less than the 3 s in which changes are to be in force.
+    /// connection goes unnoticed: less than the 3 s in which changes are to be in force, also where
+    /// another instance passes them on.
     #[serde(with = "humantime_serde", default = "defaults::watch_wait")]
     pub watch_wait: Duration,
     /// How long an answer may take beyond that. The store answers in 4 ms, and in a quarter of a
     /// second when it is slow.
     #[serde(with = "humantime_serde", default = "defaults::answer_timeout")]
     pub answer_timeout: Duration,
+    /// The pause between changes and the next watch. It gathers changes that come together into
+    /// fewer calls.
+    #[serde(with = "humantime_serde", default = "defaults::gather")]
+    pub gather: Duration,
     /// The first pause after a failed call.
     #[serde(with = "humantime_serde", default = "defaults::first_pause")]
     pub first_pause: Duration,
@@ -113,7 +118,11 @@
     use std::time::Duration;
 
     pub(super) fn watch_wait() -> Duration {
-        Duration::from_secs(2)
+        Duration::from_secs(1)
+    }
+
+    pub(super) fn gather() -> Duration {
+        Duration::from_millis(100)
     }
 
     pub(super) fn answer_timeout() -> Duration {
--- a/daemon/src/dsr/store_follower.rs
+++ b/daemon/src/dsr/store_follower.rs
@@ -44,6 +44,8 @@
     publisher: mpsc::Sender<Order>,
     /// The revision up to which everything is known, from whatever source.
     known: watch::Receiver<Option<Revision>>,
+    /// Whether this instance is to follow the store itself.
+    duty: watch::Receiver<bool>,
     /// Shows whether the last call succeeded.
     connected: watch::Sender<bool>,
     /// Whether the history after what is known is lost.
@@ -58,6 +60,7 @@
         settings: StoreSettings,
         publisher: mpsc::Sender<Order>,
         known: watch::Receiver<Option<Revision>>,
+        duty: watch::Receiver<bool>,
         connected: watch::Sender<bool>,
         latencies: Latencies,
     ) -> StoreFollower {
@@ -66,6 +69,7 @@
             settings,
             publisher,
             known,
+            duty,
             connected,
             compacted: false,
             latencies,
@@ -75,6 +79,8 @@
     /// Follows the store until the publisher has ended.
     pub async fn run(mut self) {
         while !self.publisher.is_closed() {
+            // Fails only when the process ends.
+            let _ = self.duty.wait_for(|duty| *duty).await;
             if let Err(error) = self.follow().await {
                 self.fail(&error).await;
             }
@@ -93,7 +99,8 @@
         self.pause = (self.pause * 2).min(self.settings.longest_pause);
     }
 
-    /// Reads everything unless it is known, then watches for changes until a call fails.
+    /// Reads everything unless it is known, then watches for changes until a call fails or another
+    /// instance does this.
     async fn follow(&mut self) -> Result<(), FollowError> {
         let patience = self.settings.answer_timeout;
         let connecting = Store::connect(self.settings.address, SILENCE);
@@ -103,13 +110,18 @@
             Some(known) => known,
             None => self.read(&mut store).await?,
         };
-        loop {
+        while *self.duty.borrow() {
             let wait = self.settings.watch_wait;
             let page = timeout(wait + patience, store.watch(known, wait)).await??;
             self.tell(page.documents, page.at, Scope::After(known))
                 .await;
+            let changed = known != page.at;
             known = page.at;
+            if changed {
+                sleep(self.settings.gather).await;
+            }
         }
+        Ok(())
     }
 
     async fn read(&mut self, store: &mut Store) -> Result<Revision, FollowError> {
--- a/decisions/src/dsr/peers.rs
+++ b/decisions/src/dsr/peers.rs
@@ -10,6 +10,7 @@
     SeedableRng, //
 };
 use rand_pcg::Pcg32;
+use siphasher::sip::SipHasher13;
 
 use crate::time::Time;
 
@@ -18,7 +19,7 @@
 const MEMORY: Duration = Duration::from_secs(15);
 
 /// How long an instance that did not answer is left out.
-const PENALTY: Duration = Duration::from_secs(2);
+const PENALTY: Duration = Duration::from_secs(5);
 
 /// The most instances that are told to another one.
 pub const MAX_TOLD: usize = 32;
@@ -122,6 +123,22 @@
         peers
     }
 
+    /// Returns the instance of the own zone that follows the store for the others, or nothing if
+    /// that is this one. Instances that know each other agree.
+    pub fn leader(&self, now: Time) -> Option<SocketAddrV4> {
+        let alive = |record: &Record| {
+            let near = record.zone.as_ref() == Some(&self.zone);
+            let failed = record
+                .failed
+                .is_some_and(|failed| now.since(failed) < PENALTY);
+            let heard = record.heard.is_some_and(|heard| now.since(heard) < MEMORY);
+            near && heard && !failed
+        };
+        let others = self.records.iter().filter(|(_, record)| alive(record));
+        let all = others.map(|(address, _)| *address).chain([self.own]);
+        all.max_by_key(score).filter(|leader| *leader != self.own)
+    }
+
     /// Returns an instance to ask for news: one of the own zone if there is one, and none that did
     /// not answer a moment ago.
     pub fn pick(&mut self, now: Time) -> Option<SocketAddrV4> {
@@ -143,3 +160,11 @@
         best.map(|(_, _, address)| address)
     }
 }
+
+/// Orders instances in a way that all of them compute alike.
+fn score(address: &SocketAddrV4) -> (u64, SocketAddrV4) {
+    let mut bytes = [0; 6];
+    bytes[..4].copy_from_slice(&address.ip().octets());
+    bytes[4..].copy_from_slice(&address.port().to_be_bytes());
+    (SipHasher13::new().hash(&bytes), *address)
+}
