--- a/daemon/src/dsr/forwarder.rs
+++ b/daemon/src/dsr/forwarder.rs
@@ -38,6 +38,7 @@
     Segment,
     SegmentKind, //
 };
+use lovagespindle_decisions::dsr::settings::Settings as DecisionSettings;
 use lovagespindle_platform::packet;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
@@ -268,6 +269,14 @@
     }
 }
 
+impl Message<DecisionSettings> for Forwarder {
+    type Reply = ();
+
+    async fn handle(&mut self, settings: DecisionSettings, _: &mut Context<Self, ()>) {
+        self.balancer.set_settings(settings);
+    }
+}
+
 impl Message<Leave> for Forwarder {
     type Reply = ();
 
--- a/daemon/src/dsr/mod.rs
+++ b/daemon/src/dsr/mod.rs
@@ -7,6 +7,7 @@
 pub mod peer_follower;
 pub mod prober;
 pub mod publisher;
+pub mod reload;
 pub mod run;
 pub mod settings;
 pub mod store_follower;
--- a/daemon/src/dsr/publisher.rs
+++ b/daemon/src/dsr/publisher.rs
@@ -44,6 +44,8 @@
     Learn(Bulletin),
     /// What another instance tells of others.
     Meet(Vec<Peer>),
+    /// The settings name other instances.
+    Seeds(Vec<SocketAddrV4>),
     /// Another instance did not answer.
     Failed(SocketAddrV4),
     /// Asks for the instance of the zone that follows the store, if that is another one.
@@ -115,6 +117,7 @@
         match order {
             Order::Learn(bulletin) => self.learn(now, bulletin).await,
             Order::Meet(peers) => self.peers.learn(now, &peers),
+            Order::Seeds(seeds) => self.peers.set_seeds(&seeds),
             Order::Failed(address) => self.peers.fail(now, address),
             // The asker may have given up.
             Order::Lead(reply) => drop(reply.send(self.peers.leader(now))),
--- a/daemon/src/dsr/run.rs
+++ b/daemon/src/dsr/run.rs
@@ -1,6 +1,8 @@
 //! Runs one instance on the users' platform until it has shut down.
 
 use std::net::SocketAddrV4;
+use std::path::PathBuf;
+use std::time::Duration;
 
 use hyper::StatusCode;
 use kameo::actor::{
@@ -39,14 +41,27 @@
     MetricsError, //
 };
 use crate::dsr::peer_follower::PeerFollower;
-use crate::dsr::publisher::Publisher;
-use crate::dsr::settings::Settings;
+use crate::dsr::publisher::{
+    Order,
+    Publisher, //
+};
+use crate::dsr::reload::{
+    Reloader,
+    contents, //
+};
+use crate::dsr::settings::{
+    Settings,
+    StoreSettings, //
+};
 use crate::dsr::store_follower::StoreFollower;
 use crate::run::random;
 
 /// How many messages wait for the forwarder. News of the store come one at a time.
 const MAILBOX: usize = 64;
 
+/// The time between two looks at the settings file, which may change without a signal.
+const LOOK: Duration = Duration::from_secs(5);
+
 /// Why a run failed.
 #[derive(Debug, thiserror::Error)]
 pub enum RunError {
@@ -70,8 +85,8 @@
     Forwarder,
 }
 
-/// Runs an instance until a signal has shut it down.
-pub async fn run(settings: Settings) -> Result<(), RunError> {
+/// Runs an instance with the settings of a file until a signal has shut it down.
+pub async fn run(settings: Settings, path: PathBuf) -> Result<(), RunError> {
     let mut terminate = signal(SignalKind::terminate()).map_err(RunError::Signals)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(RunError::Signals)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(RunError::Signals)?;
@@ -91,22 +106,37 @@
     let latencies = instruments.latencies.clone();
     let clock = Clock::start();
     let forwarder = start(settings.clone(), clock, ready, latencies.clone()).await?;
-    follow(&settings, clock, &forwarder, latencies).await?;
+    let (publisher, store) = follow(&settings, clock, &forwarder, latencies).await?;
     if let Some(address) = settings.listen.metrics {
         show_metrics(address, instruments, &forwarder).await?;
     }
+    let mut text = contents(&path);
+    let mut reloader = Reloader {
+        path,
+        settings,
+        forwarder: forwarder.clone(),
+        publisher,
+        store,
+    };
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => log::info!("event=reload"),
+            _ = hangup.recv() => reloader.reload().await,
+            () = tokio::time::sleep(LOOK) => {
+                let found = contents(&reloader.path);
+                if found != text {
+                    text = found;
+                    reloader.reload().await;
+                }
+            }
             () = forwarder.wait_for_shutdown() => return Err(RunError::Forwarder),
         }
     }
     log::info!("event=stopping");
     // Fails only if the forwarder has ended, and then there is nothing to wait for.
     let _ = forwarder.tell(Leave).await;
-    tokio::time::sleep(settings.shutdown.linger).await;
+    tokio::time::sleep(reloader.settings.shutdown.linger).await;
     log::info!("event=stop");
     Ok(())
 }
@@ -144,7 +174,7 @@
     clock: Clock,
     forwarder: &ActorRef<Forwarder>,
     latencies: Latencies,
-) -> Result<(), RunError> {
+) -> Result<(mpsc::Sender<Order>, watch::Sender<StoreSettings>), RunError> {
     let listener = TcpListener::bind(settings.listen.peers).await;
     let listener = listener.map_err(RunError::Peers)?;
     let (orders, ordered) = mpsc::channel(MAILBOX);
@@ -160,21 +190,21 @@
     );
     let (me, seeds) = (peers.me(), peers.seeds().to_vec());
     let publisher = Publisher::new(clock, peers, forwarder.clone(), ordered, asked, shown);
-    let settings = settings.store.clone();
+    let (store_settings, latest) = watch::channel(settings.store.clone());
     let stores = StoreFollower::new(
-        settings,
+        latest,
         orders.clone(),
         known.clone(),
         on_duty,
         connected,
         latencies,
     );
-    let others = PeerFollower::new(me, seeds, orders, known, duty, store);
+    let others = PeerFollower::new(me, seeds, orders.clone(), known, duty, store);
     tokio::spawn(news_link::serve(listener, questions));
     tokio::spawn(publisher.run());
     tokio::spawn(stores.run());
     tokio::spawn(others.run());
-    Ok(())
+    Ok((orders, store_settings))
 }
 
 async fn start(
--- a/daemon/src/dsr/settings.rs
+++ b/daemon/src/dsr/settings.rs
@@ -10,8 +10,13 @@
     Serialize, //
 };
 
+use crate::limits::DSR_LIMITS;
 use crate::logging::LogSettings;
-use crate::settings::SettingsError;
+use crate::settings::{
+    NAMES,
+    SettingsError,
+    is_name, //
+};
 
 /// Settings of the daemon on the users' platform.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -38,7 +43,7 @@
 }
 
 /// Who the instance is.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct InstanceSettings {
     /// Shown in logs.
@@ -48,7 +53,7 @@
 }
 
 /// Where the instance listens.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ListenSettings {
     /// Packets of clients (UDP). Resets go to clients at the same port.
@@ -62,7 +67,7 @@
 }
 
 /// The platform's store.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct StoreSettings {
     /// Its address (HTTP).
@@ -89,7 +94,7 @@
 }
 
 /// The other instances.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PeerSettings {
     /// Some instances to begin with. They may be stale, and the instance itself may be among them.
@@ -97,7 +102,7 @@
 }
 
 /// Planned shutdown.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ShutdownSettings {
     /// How long packets are still forwarded after SIGTERM. The routers need two readiness checks,
@@ -148,11 +153,62 @@
         Settings::parse(&text, path)
     }
 
-    /// Parses the text of a file.
+    /// Parses and checks the text of a file.
     pub fn parse(text: &str, path: &Path) -> Result<Settings, SettingsError> {
-        toml::from_str(text).map_err(|source| SettingsError::Parse {
+        let settings: Settings = toml::from_str(text).map_err(|source| SettingsError::Parse {
             path: path.to_owned(),
             source: Box::new(source),
-        })
+        })?;
+        let faults = settings.faults();
+        if !faults.is_empty() {
+            let path = path.to_owned();
+            return Err(SettingsError::Faults { path, faults });
+        }
+        Ok(settings)
+    }
+
+    /// Returns all values that are not allowed.
+    fn faults(&self) -> Vec<String> {
+        let names = [
+            ("instance.name", &self.instance.name),
+            ("instance.zone", &self.instance.zone),
+        ];
+        let names = names.iter().filter(|(_, name)| !is_name(name));
+        let names = names.map(|(key, name)| format!("{key} is {name:?}, but must be {NAMES}"));
+        let ranges = DSR_LIMITS.iter().filter_map(|limit| {
+            let value = limit.violation(self)?;
+            let allowed = limit.allowed();
+            Some(format!("{} is {value}, but must be {allowed}", limit.key))
+        });
+        let pairs = self.ordered().into_iter().filter(|pair| pair.1 > pair.3);
+        let pairs = pairs.map(|(low, least, high, most)| {
+            format!("{low} is {least:?}, but must be at most {high}, which is {most:?}")
+        });
+        names.chain(ranges).chain(pairs).collect()
+    }
+
+    /// Returns pairs of durations of which the first must not exceed the second.
+    fn ordered(&self) -> [(&'static str, Duration, &'static str, Duration); 3] {
+        let (store, decisions) = (&self.store, &self.decisions);
+        [
+            (
+                "store.first_pause",
+                store.first_pause,
+                "store.longest_pause",
+                store.longest_pause,
+            ),
+            (
+                "decisions.shortest_wait",
+                decisions.shortest_wait,
+                "decisions.longest_wait",
+                decisions.longest_wait,
+            ),
+            (
+                "decisions.first_retry",
+                decisions.first_retry,
+                "decisions.longest_retry",
+                decisions.longest_retry,
+            ),
+        ]
     }
 }
--- a/daemon/src/dsr/store_follower.rs
+++ b/daemon/src/dsr/store_follower.rs
@@ -40,7 +40,9 @@
 
 /// Follows the store.
 pub struct StoreFollower {
+    /// The settings in force, and the latest ones.
     settings: StoreSettings,
+    latest: watch::Receiver<StoreSettings>,
     publisher: mpsc::Sender<Order>,
     /// The revision up to which everything is known, from whatever source.
     known: watch::Receiver<Option<Revision>>,
@@ -57,16 +59,18 @@
 impl StoreFollower {
     /// Creates a follower that passes news on to the publisher.
     pub fn new(
-        settings: StoreSettings,
+        mut latest: watch::Receiver<StoreSettings>,
         publisher: mpsc::Sender<Order>,
         known: watch::Receiver<Option<Revision>>,
         duty: watch::Receiver<bool>,
         connected: watch::Sender<bool>,
         latencies: Latencies,
     ) -> StoreFollower {
+        let settings = latest.borrow_and_update().clone();
         StoreFollower {
             pause: settings.first_pause,
             settings,
+            latest,
             publisher,
             known,
             duty,
@@ -81,6 +85,7 @@
         while !self.publisher.is_closed() {
             // Fails only when the process ends.
             let _ = self.duty.wait_for(|duty| *duty).await;
+            self.settings = self.latest.borrow_and_update().clone();
             if let Err(error) = self.follow().await {
                 self.fail(&error).await;
             }
@@ -110,7 +115,7 @@
             Some(known) => known,
             None => self.read(&mut store).await?,
         };
-        while *self.duty.borrow() {
+        while *self.duty.borrow() && !self.latest.has_changed().unwrap_or(false) {
             let wait = self.settings.watch_wait;
             let page = timeout(wait + patience, store.watch(known, wait)).await??;
             self.tell(page.documents, page.at, Scope::After(known))
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -2,27 +2,30 @@
 
 use std::time::Duration;
 
+use crate::dsr::settings::Settings as DsrSettings;
 use crate::settings::Settings;
 
 /// The range of one setting, ends included.
-pub struct Limit {
+pub struct Limit<S: 'static> {
     /// The key, as in the file.
     pub key: &'static str,
     /// The value and its range.
-    pub range: Range,
+    pub range: Range<S>,
 }
 
 /// A value of the settings and the range that it has to be in.
-pub enum Range {
+pub enum Range<S> {
     /// A duration.
-    Time(fn(&Settings) -> Duration, Duration, Duration),
+    Time(fn(&S) -> Duration, Duration, Duration),
     /// A number.
-    Count(fn(&Settings) -> u64, u64, u64),
+    Count(fn(&S) -> u64, u64, u64),
+    /// A fraction.
+    Real(fn(&S) -> f64, f64, f64),
 }
 
-impl Limit {
+impl<S> Limit<S> {
     /// Returns the value in text if it is out of range.
-    pub fn violation(&self, settings: &Settings) -> Option<String> {
+    pub fn violation(&self, settings: &S) -> Option<String> {
         match self.range {
             Range::Time(get, least, most) => {
                 let value = get(settings);
@@ -34,6 +37,11 @@
                 let good = (least..=most).contains(&value);
                 (!good).then(|| value.to_string())
             }
+            Range::Real(get, least, most) => {
+                let value = get(settings);
+                let good = (least..=most).contains(&value);
+                (!good).then(|| value.to_string())
+            }
         }
     }
 
@@ -45,6 +53,7 @@
                 format!("{least} to {most}")
             }
             Range::Count(_, least, most) => format!("{least} to {most}"),
+            Range::Real(_, least, most) => format!("{least} to {most}"),
         }
     }
 }
@@ -82,6 +91,9 @@
     (@ time $($field:ident).+, $least:expr, $most:expr) => {
         Range::Time(|settings| settings.$($field).+, $least, $most)
     };
+    (@ real $($field:ident).+, $least:expr, $most:expr) => {
+        Range::Real(|settings| settings.$($field).+, $least, $most)
+    };
     (@ count $($field:ident).+, $least:expr, $most:expr) => {
         Range::Count(|settings| settings.$($field).+ as u64, $least, $most)
     };
@@ -89,7 +101,7 @@
 
 /// The ranges of all durations and numbers.
 #[allow(clippy::cast_lossless)] // the macro casts numbers of several widths
-pub const LIMITS: &[Limit] = limits! {
+pub const LIMITS: &[Limit<Settings>] = limits! {
     count callers.receive_buffer: BUFFER.0, BUFFER.1;
     count backend_servers.receive_buffer: BUFFER.0, BUFFER.1;
     time prober.period: millis(100), MINUTE;
@@ -156,3 +168,24 @@
     time decisions.spread.pull: millis(10), MINUTE;
     time decisions.spread.patience: millis(10), TEN_MINUTES;
 };
+
+/// The ranges of all durations and numbers on the users' platform.
+#[allow(clippy::cast_lossless)] // the macro casts numbers of several widths
+pub const DSR_LIMITS: &[Limit<DsrSettings>] = limits! {
+    time store.watch_wait: millis(100), seconds(30);
+    time store.answer_timeout: millis(10), MINUTE;
+    time store.gather: millis(0), seconds(2);
+    time store.first_pause: millis(1), MINUTE;
+    time store.longest_pause: millis(1), MINUTE;
+    time shutdown.linger: millis(0), MINUTE;
+    time decisions.shortest_wait: millis(1), MINUTE;
+    time decisions.longest_wait: millis(1), MINUTE;
+    time decisions.first_retry: millis(10), MINUTE;
+    time decisions.longest_retry: millis(10), TEN_MINUTES;
+    time decisions.recovery: millis(0), TEN_MINUTES;
+    time decisions.lapse: millis(0), MINUTE;
+    time decisions.zone_return: millis(0), MINUTE;
+    real decisions.zone_preference: 0.0, 1000.0;
+    time decisions.pause: millis(10), TEN_MINUTES;
+    count decisions.max_flows: 1, 10_000_000;
+};
--- a/daemon/src/logging.rs
+++ b/daemon/src/logging.rs
@@ -21,7 +21,7 @@
 use crate::log_writer::QueueAppender;
 
 /// Settings of logs.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LogSettings {
     /// The least level that is written: `off`, `error`, `warn`, `info`, `debug` or `trace`.
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,6 +1,9 @@
 //! The lovagespindle daemon.
 
-use std::path::Path;
+use std::path::{
+    Path,
+    PathBuf, //
+};
 use std::process::ExitCode;
 
 use anyhow::Context;
@@ -38,7 +41,7 @@
             Err(error) => return fail(&error.into(), 2),
         },
         Command::Run(Mode::Dsr, file) => match dsr::settings::Settings::read(&file) {
-            Ok(settings) => return finish(serve_dsr(settings)),
+            Ok(settings) => return finish(serve_dsr(settings, file)),
             Err(error) => return fail(&error.into(), 2),
         },
     }
@@ -53,13 +56,13 @@
 }
 
 /// One thread: an instance on the platform has a part of one core.
-fn serve_dsr(settings: dsr::settings::Settings) -> anyhow::Result<()> {
+fn serve_dsr(settings: dsr::settings::Settings, file: PathBuf) -> anyhow::Result<()> {
     logging::start(&settings.log)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context("the runtime cannot be started")?;
-    runtime.block_on(dsr::run::run(settings))?;
+    runtime.block_on(dsr::run::run(settings, file))?;
     Ok(())
 }
 
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -112,6 +112,14 @@
         /// Where and why.
         source: Box<toml::de::Error>,
     },
+    /// Values are out of range.
+    #[error("settings file {path:?} is not valid: {}", faults.join("; "))]
+    Faults {
+        /// The file.
+        path: PathBuf,
+        /// Each fault, with the key, the value and what is allowed.
+        faults: Vec<String>,
+    },
     /// A value is out of range.
     #[error("settings file {path:?}: {key} is {value}, but must be {allowed}")]
     Range {
@@ -217,9 +225,9 @@
 }
 
 /// What is allowed as the name of an instance or a zone.
-const NAMES: &str = "1 to 63 characters of a-z, 0-9, '-' and '.'";
+pub(crate) const NAMES: &str = "1 to 63 characters of a-z, 0-9, '-' and '.'";
 
-fn is_name(name: &str) -> bool {
+pub(crate) fn is_name(name: &str) -> bool {
     let allowed = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-' || b == b'.';
     !name.is_empty() && name.len() <= 63 && name.bytes().all(allowed)
 }
--- /dev/null
+++ b/daemon/tests/dsr_settings.rs
@@ -0,0 +1,178 @@
+//! Checks of the settings on the users' platform, their reference page and the template.
+
+use std::path::Path;
+
+use lovagespindle_daemon::dsr::settings::Settings;
+use lovagespindle_daemon::limits::{
+    DSR_LIMITS,
+    Range, //
+};
+use lovagespindle_stand_ins::cases;
+use toml::Value;
+
+const LEAST: &str = "[instance]\nname = \"a\"\nzone = \"z\"\n\
+                     [listen]\nclients = \"127.0.0.1:1\"\nreadiness = \"127.0.0.1:2\"\n\
+                     peers = \"127.0.0.1:3\"\n[store]\naddress = \"127.0.0.1:4\"\n";
+
+cases! {
+    /// Guards against defaults that are out of their own range.
+    defaults_are_valid => { parse(LEAST).expect("valid settings"); };
+    /// Guards against operators who mend one fault only to be told the next.
+    all_faults_are_told_at_once => all_faults();
+    /// Guards against a range that is written down but not checked.
+    every_range_is_checked => every_range();
+    /// Guards against durations and numbers without a range.
+    every_number_has_a_range => every_number();
+    /// Guards against typing errors that leave a default in force.
+    unknown_keys_are_refused => unknown_keys();
+    /// Guards against a reference page that does not name a setting.
+    reference_is_complete => reference();
+    /// Guards against a template whose result no daemon takes.
+    template_is_valid => template();
+}
+
+fn parse(text: &str) -> Result<Settings, String> {
+    Settings::parse(text, Path::new("file.toml")).map_err(|error| error.to_string())
+}
+
+/// Returns the least settings with another value of one key.
+fn with(key: &str, value: &str) -> String {
+    let mut settings = Value::try_from(parse(LEAST).expect("valid settings")).expect("a table");
+    let mut place = &mut settings;
+    for part in key.split('.') {
+        place = &mut place[part];
+    }
+    let number: Result<Value, _> = value.parse::<i64>().map(Value::Integer);
+    let number = number.or_else(|_| value.parse().map(Value::Float));
+    *place = number.unwrap_or_else(|_| Value::String(value.to_owned()));
+    toml::to_string(&settings).expect("a file")
+}
+
+fn all_faults() {
+    let text = LEAST.replace("\"z\"", "\"Z 1\"") + "watch_wait = \"1ms\"\ngather = \"1h\"\n";
+    let error = parse(&text).expect_err("three faults");
+    for part in [
+        "instance.zone is \"Z 1\"",
+        "store.watch_wait is 1ms, but must be 100ms to 30s",
+        "store.gather is 1h, but must be 0s to 2s",
+    ] {
+        assert_eq!(error.matches(part).count(), 1, "{part} in {error}");
+    }
+    let error = parse(&(LEAST.to_owned() + "[decisions]\nshortest_wait = \"1s\"\n"));
+    let error = error.expect_err("a wait longer than the longest");
+    assert!(error.contains("decisions.shortest_wait"), "{error}");
+}
+
+fn every_range() {
+    for limit in DSR_LIMITS {
+        let values = match limit.range {
+            Range::Time(_, _, most) => {
+                let above = most + std::time::Duration::from_secs(1);
+                vec![humantime::format_duration(above).to_string()]
+            }
+            Range::Count(_, least, most) => vec![
+                least
+                    .checked_sub(1)
+                    .map_or_else(|| (most + 1).to_string(), |v| v.to_string()),
+                (most + 1).to_string(),
+            ],
+            Range::Real(_, least, most) => {
+                vec![(least - 0.5).to_string(), (most + 0.5).to_string()]
+            }
+        };
+        for value in values {
+            let error = parse(&with(limit.key, &value)).expect_err(limit.key);
+            assert!(
+                error.contains(limit.key),
+                "{} = {value}: {error}",
+                limit.key
+            );
+        }
+    }
+}
+
+fn keys(path: &str, value: &Value, out: &mut Vec<(String, Value)>) {
+    match value {
+        Value::Table(table) => {
+            for (key, value) in table {
+                keys(format!("{path}.{key}").trim_start_matches('.'), value, out);
+            }
+        }
+        other => out.push((path.to_owned(), other.clone())),
+    }
+}
+
+fn all_keys() -> Vec<(String, Value)> {
+    let text =
+        LEAST.replace("peers =", "metrics = \"127.0.0.1:5\"\npeers =") + "[log]\nfile = \"x\"\n";
+    let settings = Value::try_from(parse(&text).expect("valid settings")).expect("a table");
+    let mut out = Vec::new();
+    keys("", &settings, &mut out);
+    out
+}
+
+fn every_number() {
+    for (key, value) in all_keys() {
+        let text = value.as_str().unwrap_or_default();
+        let number = value.is_integer() || value.is_float();
+        let number = number || humantime::parse_duration(text).is_ok();
+        let limited = DSR_LIMITS.iter().any(|limit| limit.key == key);
+        assert!(limited || !number, "{key} = {value} has no range");
+    }
+}
+
+fn unknown_keys() {
+    for table in [
+        "instance",
+        "listen",
+        "store",
+        "peers",
+        "shutdown",
+        "log",
+        "decisions",
+    ] {
+        let mut settings = Value::try_from(parse(LEAST).expect("valid")).expect("a table");
+        settings[table]
+            .as_table_mut()
+            .expect("a table")
+            .insert("colour".to_owned(), Value::Integer(1));
+        let error = parse(&toml::to_string(&settings).expect("a file")).expect_err(table);
+        assert!(error.contains("unknown field `colour`"), "{table}: {error}");
+    }
+}
+
+fn read(file: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("..").join(file);
+    std::fs::read_to_string(path).expect(file)
+}
+
+fn reference() {
+    let page = read("docs/settings-dsr.md");
+    for (key, _) in all_keys() {
+        let row = page
+            .lines()
+            .find(|line| line.starts_with(&format!("| `{key}` |")));
+        let row = row.unwrap_or_else(|| panic!("{key} is not on the page"));
+        if let Some(limit) = DSR_LIMITS.iter().find(|limit| limit.key == key) {
+            assert!(row.contains(&limit.allowed()), "{row}: {}", limit.allowed());
+        }
+    }
+}
+
+fn template() {
+    let mut text = read("deploy/settings.template");
+    for (place, value) in [
+        ("{{NodeName|json}}", "\"front-a-1\""),
+        ("{{Zone|json}}", "\"a\""),
+        ("{{ListenAddrs.UdpListen|json}}", "\"10.1.0.10:8172\""),
+        ("{{ListenAddrs.Ready|json}}", "\"10.1.0.10:8167\""),
+        ("{{ListenAddrs.Control|json}}", "\"10.1.0.10:8166\""),
+        ("{{Ip}}", "10.1.0.10"),
+        ("{{Seeds|json}}", "[\"10.1.0.10:8166\",\"10.2.0.40:8166\"]"),
+        ("{{platform.Address|json}}", "\"10.200.1.7:8169\""),
+    ] {
+        assert!(text.contains(place), "{place} is not in the template");
+        text = text.replace(place, value);
+    }
+    parse(&text).expect("valid settings");
+}
--- a/daemon/tests/settings.rs
+++ b/daemon/tests/settings.rs
@@ -114,6 +114,10 @@
                 let above = (above != 65_536).then(|| above.to_string());
                 (least.checked_sub(1).map(|v| v.to_string()), above)
             }
+            Range::Real(_, least, most) => (
+                Some((least - 1.0).to_string()),
+                Some((most + 1.0).to_string()),
+            ),
         };
         for value in [below, above].into_iter().flatten() {
             let reason = format!("{} is {value}, but must be {}", limit.key, limit.allowed());
--- a/decisions/src/dsr/balancer.rs
+++ b/decisions/src/dsr/balancer.rs
@@ -148,6 +148,11 @@
         }
     }
 
+    /// Decides by other settings from now on.
+    pub fn set_settings(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
     /// Takes news of the store.
     pub fn learn(&mut self, now: Time, news: News) {
         let Balancer {
--- a/decisions/src/dsr/peers.rs
+++ b/decisions/src/dsr/peers.rs
@@ -74,6 +74,11 @@
         }
     }
 
+    /// Takes over other instances that the settings name.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddrV4]) {
+        self.seeds = seeds.iter().copied().filter(|at| *at != self.own).collect();
+    }
+
     /// Returns the instances that the settings name, without the instance itself.
     pub fn seeds(&self) -> &[SocketAddrV4] {
         &self.seeds
--- a/decisions/src/dsr/settings.rs
+++ b/decisions/src/dsr/settings.rs
@@ -8,7 +8,7 @@
 };
 
 /// Settings of the decisions.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// The least time an opening packet waits for the client's next packet before it is also sent
