--- a/operators/tests/schema.rs
+++ b/operators/tests/schema.rs
@@ -242,7 +242,7 @@
     };
     /// Guards against an event or red flag that the operators' page does not explain.
     page_explains_all_events_and_flags => {
-        let page = include_str!("../../docs/operations.md");
+        let page = include_str!("../../docs/OPERATIONS.md");
         for occurrence in occurrences() {
             let event: &'static str = occurrence.into();
             assert!(page.contains(&format!("`{event}`")), "{event}");
