--- a/daemon/src/dsr/run.rs
+++ b/daemon/src/dsr/run.rs
@@ -108,7 +108,10 @@
     let forwarder = start(settings.clone(), clock, ready, latencies.clone()).await?;
     let (publisher, store) = follow(&settings, clock, &forwarder, latencies).await?;
     if let Some(address) = settings.listen.metrics {
-        show_metrics(address, instruments, &forwarder).await?;
+        // Packets are forwarded without metrics as well.
+        if let Err(error) = show_metrics(address, instruments, &forwarder).await {
+            log::error!("event=metrics_unavailable reason={:?}", error.to_string());
+        }
     }
     let mut text = contents(&path);
     let mut reloader = Reloader {
@@ -153,10 +156,8 @@
     address: SocketAddrV4,
     instruments: Instruments,
     forwarder: &ActorRef<Forwarder>,
-) -> Result<(), RunError> {
-    let listener = TcpListener::bind(address)
-        .await
-        .map_err(MetricsError::Listen)?;
+) -> Result<(), MetricsError> {
+    let listener = TcpListener::bind(address).await?;
     let metrics = Metrics::spawn(Metrics::new(instruments, forwarder.clone()));
     tokio::spawn(http::serve(listener, metrics::PATH, move || {
         let metrics = metrics.clone();
--- a/daemon/tests/dsr.rs
+++ b/daemon/tests/dsr.rs
@@ -118,6 +118,15 @@
         fleet.until_line_of(daemon, "event=reload changed=decisions").await;
     }
 
+    /// Guards against an instance that does not forward because the port of its metrics is taken.
+    taken_metrics_port_does_not_end_the_daemon(10, fleet) => {
+        let _taken = tokio::net::TcpListener::bind("127.78.10.100:9464").await.expect("a port");
+        let daemon = fleet.daemon(&[]).await;
+        fleet.until_line_of(daemon, "event=metrics_unavailable").await;
+        fleet.until_ready(daemon, true).await;
+        fleet.open(daemon, opening(1)).await;
+    }
+
     /// Guards against metrics that miss what was done.
     metrics_are_served(9, fleet) => {
         let daemon = fleet.daemon(&[]).await;
--- a/decisions/src/dsr/routes.rs
+++ b/decisions/src/dsr/routes.rs
@@ -16,8 +16,6 @@
     pub version: u64,
     /// The routes by the address that clients open flows to.
     pub routes: HashMap<SocketAddrV4, Route>,
-    /// The services by name.
-    pub services: HashMap<Arc<str>, Service>,
     /// How long a flow may be idle.
     pub idle: Duration,
 }
@@ -29,8 +27,6 @@
     pub name: Arc<str>,
     /// The services that share the flows; most routes have one.
     pub shares: SmallVec<[Share; 1]>,
-    /// How long a request may take.
-    pub timeout: Duration,
 }
 
 /// A service's part of the flows of a route.
@@ -42,15 +38,6 @@
     pub weight: f64,
 }
 
-/// What operators set for a service.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Service {
-    /// How long a backend server stays cold after its start.
-    pub cold: Duration,
-    /// How many requests a second a cold backend server bears.
-    pub cold_rate: f64,
-}
-
 impl Route {
     /// Returns the service of a flow. Copies of an opening packet get the same one at every
     /// instance.
--- a/decisions/src/dsr/segment.rs
+++ b/decisions/src/dsr/segment.rs
@@ -71,10 +71,6 @@
     pub kind: SegmentKind,
     /// The tag that the client saw last; zero before it saw one.
     pub tag: Tag,
-    /// The sequence number of its first byte.
-    pub sequence: u32,
-    /// The size of its data in bytes.
-    pub length: u16,
 }
 
 /// Where a packet is sent.
--- a/decisions/tests/dsr_rig/mod.rs
+++ b/decisions/tests/dsr_rig/mod.rs
@@ -80,12 +80,10 @@
             weight: 1.0,
         }]
         .into(),
-        timeout: ms(1_500),
     };
     RouteTable {
         version,
         routes: services.iter().map(|at| (*at, route.clone())).collect(),
-        services: HashMap::new(),
         idle: ms(15_000),
     }
 }
@@ -217,8 +215,6 @@
                 checksum: 9,
             }),
             tag: Tag::default(),
-            sequence: 7,
-            length: 0,
         }
     }
 
@@ -327,11 +323,5 @@
 }
 
 fn segment(flow: FlowTuple, kind: SegmentKind, tag: Tag) -> Segment {
-    Segment {
-        flow,
-        kind,
-        tag,
-        sequence: 8,
-        length: 0,
-    }
+    Segment { flow, kind, tag }
 }
