Test that trials of a silent backend server become rare

The fault that a failed trial did not double the next pause was mended with the blame of waiting clients only, and had no test. With that branch switched off the test counts 10 trials in 10 s, at most 5 are allowed; with it, it passes. No production code changes.

--- a/decisions/tests/dsr.rs
+++ b/decisions/tests/dsr.rs
@@ -100,6 +100,19 @@
         assert!(rig.opens(1) - before <= 1, "{} more", rig.opens(1) - before);
     }
 
+    /// Guards against trials of a silent backend server that stay frequent: each costs a client the
+    /// wait for its answer. Pauses of 0.5, 1, 2 and 4 s leave room for five in 10 s.
+    trials_of_a_silent_server_become_rare => {
+        let mut rig = Rig::new();
+        rig.serve();
+        rig.silence(1);
+        rig.play(40, ms(10));
+        let before = rig.opens(1);
+        rig.play(500, ms(10));
+        let trials = rig.opens(1) - before;
+        assert!((1..=5).contains(&trials), "{trials} trials");
+    }
+
     /// Guards against a flood at a backend server that answers again: it may have started anew.
     answering_server_recovers_slowly => {
         let mut rig = Rig::new();
