Record the starts of each request in the stand-in server

Ruled out: nothing yet; this is for the next failure. Before: a count. After: time, sender, kind and attempt of each start; the test prints them for a request that ran twice. Conclusion: the next failing run names the senders.

--- a/daemon/tests/fleet/mod.rs
+++ b/daemon/tests/fleet/mod.rs
@@ -223,8 +223,10 @@
     pub(crate) async fn doubles(&self) -> usize {
         let mut doubles = 0;
         for (n, server) in self.servers.iter().enumerate() {
-            for (flow, request) in server.report().await.unwrap().doubles() {
-                eprintln!("server-{n} ran request {request} of flow {flow:x?} more than once");
+            let report = server.report().await.unwrap();
+            for (flow, request) in report.doubles() {
+                let starts = &report.executions[&(flow, request)];
+                eprintln!("server-{n} ran request {request} of flow {flow:x?}: {starts:?}");
                 doubles += 1;
             }
         }
--- a/stand-ins/src/backend_server.rs
+++ b/stand-ins/src/backend_server.rs
@@ -7,12 +7,14 @@
 use lovagespindle_backend_servers::generated::health::health_server::HealthServer;
 use lovagespindle_backend_servers::generated::load::load_server::LoadServer;
 use lovagespindle_datagram::Services;
+use lovagespindle_decisions::Time;
 use lovagespindle_decisions::event::LoadReport;
 use lovagespindle_decisions::ids::{
     BackendServerId,
     FlowId,
     RequestId, //
 };
+use lovagespindle_decisions::packet::PacketKind;
 use tokio::net::TcpListener;
 use tokio::sync::{
     mpsc,
@@ -81,11 +83,24 @@
     Nothing,
 }
 
+/// The start of a request, for finding out why a request was started twice.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Start {
+    /// Time of the server's clock.
+    pub at: Time,
+    /// The address that the packet came from.
+    pub source: SocketAddr,
+    /// The kind of the packet.
+    pub kind: PacketKind,
+    /// The caller's attempt.
+    pub attempt: u8,
+}
+
 /// What a backend server did. Counts of requests, since it was created unless noted.
 #[derive(Clone, Debug, Default)]
 pub struct ServerReport {
-    /// How often each request was started.
-    pub executions: HashMap<(FlowId, RequestId), u32>,
+    /// The starts of each request, in their order.
+    pub executions: HashMap<(FlowId, RequestId), Vec<Start>>,
     /// Answered in full.
     pub finished: u64,
     /// Refused because all slots were in use.
@@ -116,7 +131,9 @@
     /// Returns the requests that were started more than once.
     pub fn doubles(&self) -> impl Iterator<Item = (FlowId, RequestId)> {
         let executions = self.executions.iter();
-        executions.filter(|(_, n)| **n > 1).map(|(key, _)| *key)
+        executions
+            .filter(|(_, starts)| starts.len() > 1)
+            .map(|(key, _)| *key)
     }
 }
 
--- a/stand-ins/src/server_task.rs
+++ b/stand-ins/src/server_task.rs
@@ -32,6 +32,7 @@
     Command,
     ServerReport,
     ServerSettings,
+    Start,
     Telling, //
 };
 use crate::work::{
@@ -322,7 +323,13 @@
             return;
         }
         let key = (packet.flow, packet.request);
-        *self.report.executions.entry(key).or_default() += 1;
+        let start = Start {
+            at: now,
+            source,
+            kind: packet.kind,
+            attempt: packet.attempt,
+        };
+        self.report.executions.entry(key).or_default().push(start);
         let work = Work::decode(&packet.payload).unwrap_or_default();
         let run = Run {
             due: now + work.run,
