Name every fault of a settings file at once, each once

Cause: the check of the relay mode's settings stopped at the first fault, and a file that is no valid TOML was reported twice, as the message held its source and the error chain printed it again. Reading and parsing stood twice, once a mode. Ruled out: the platform mode told all faults already, but printed parse errors twice as well. Conclusion: one reader for both modes.

--- a/daemon/src/dsr/settings.rs
+++ b/daemon/src/dsr/settings.rs
@@ -13,9 +13,12 @@
 use crate::limits::DSR_LIMITS;
 use crate::logging::LogSettings;
 use crate::settings::{
-    NAMES,
     SettingsError,
-    is_name, //
+    fault,
+    name_faults,
+    parse_text,
+    range_faults,
+    read_text, //
 };
 
 /// Settings of the daemon on the users' platform.
@@ -144,27 +147,14 @@
 }
 
 impl Settings {
-    /// Reads a file.
+    /// Reads and checks a file.
     pub fn read(path: &Path) -> Result<Settings, SettingsError> {
-        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
-            path: path.to_owned(),
-            source,
-        })?;
-        Settings::parse(&text, path)
+        Settings::parse(&read_text(path)?, path)
     }
 
     /// Parses and checks the text of a file.
     pub fn parse(text: &str, path: &Path) -> Result<Settings, SettingsError> {
-        let settings: Settings = toml::from_str(text).map_err(|source| SettingsError::Parse {
-            path: path.to_owned(),
-            source: Box::new(source),
-        })?;
-        let faults = settings.faults();
-        if !faults.is_empty() {
-            let path = path.to_owned();
-            return Err(SettingsError::Faults { path, faults });
-        }
-        Ok(settings)
+        parse_text(text, path, Settings::faults)
     }
 
     /// Returns all values that are not allowed.
@@ -173,18 +163,15 @@
             ("instance.name", &self.instance.name),
             ("instance.zone", &self.instance.zone),
         ];
-        let names = names.iter().filter(|(_, name)| !is_name(name));
-        let names = names.map(|(key, name)| format!("{key} is {name:?}, but must be {NAMES}"));
-        let ranges = DSR_LIMITS.iter().filter_map(|limit| {
-            let value = limit.violation(self)?;
-            let allowed = limit.allowed();
-            Some(format!("{} is {value}, but must be {allowed}", limit.key))
-        });
         let pairs = self.ordered().into_iter().filter(|pair| pair.1 > pair.3);
         let pairs = pairs.map(|(low, least, high, most)| {
-            format!("{low} is {least:?}, but must be at most {high}, which is {most:?}")
+            let allowed = format!("at most {high}, which is {most:?}");
+            fault(low, &format!("{least:?}"), &allowed)
         });
-        names.chain(ranges).chain(pairs).collect()
+        name_faults(&names)
+            .chain(range_faults(DSR_LIMITS, self))
+            .chain(pairs)
+            .collect()
     }
 
     /// Returns pairs of durations of which the first must not exceed the second.
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -13,12 +13,16 @@
 use lovagespindle_instances::relay::RelaySettings;
 use lovagespindle_operators::timeline;
 use lovagespindle_store as platform;
+use serde::de::DeserializeOwned;
 use serde::{
     Deserialize,
     Serialize, //
 };
 
-use crate::limits::LIMITS;
+use crate::limits::{
+    LIMITS,
+    Limit, //
+};
 use crate::logging::LogSettings;
 use crate::metrics::MetricSettings;
 
@@ -97,20 +101,20 @@
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
     /// The file can't be read.
-    #[error("settings file {path:?} cannot be read: {source}")]
+    #[error("settings file {path:?} cannot be read: {reason}")]
     Read {
         /// The file.
         path: PathBuf,
         /// Why.
-        source: std::io::Error,
+        reason: std::io::Error,
     },
     /// The file is not valid.
-    #[error("settings file {path:?} is not valid: {source}")]
+    #[error("settings file {path:?} is not valid: {reason}")]
     Parse {
         /// The file.
         path: PathBuf,
         /// Where and why.
-        source: Box<toml::de::Error>,
+        reason: Box<toml::de::Error>,
     },
     /// Values are out of range.
     #[error("settings file {path:?} is not valid: {}", faults.join("; "))]
@@ -120,66 +124,79 @@
         /// Each fault, with the key, the value and what is allowed.
         faults: Vec<String>,
     },
-    /// A value is out of range.
-    #[error("settings file {path:?}: {key} is {value}, but must be {allowed}")]
-    Range {
-        /// The file.
-        path: PathBuf,
-        /// The key of the value.
-        key: &'static str,
-        /// The value.
-        value: String,
-        /// What is allowed.
-        allowed: String,
-    },
+}
+
+/// Reads the text of a settings file.
+pub(crate) fn read_text(path: &Path) -> Result<String, SettingsError> {
+    std::fs::read_to_string(path).map_err(|reason| SettingsError::Read {
+        path: path.to_owned(),
+        reason,
+    })
+}
+
+/// Parses the text of a settings file, and checks the values with `faults`.
+pub(crate) fn parse_text<S: DeserializeOwned>(
+    text: &str,
+    path: &Path,
+    faults: impl FnOnce(&S) -> Vec<String>,
+) -> Result<S, SettingsError> {
+    let settings = toml::from_str(text).map_err(|reason| SettingsError::Parse {
+        path: path.to_owned(),
+        reason: Box::new(reason),
+    })?;
+    let faults = faults(&settings);
+    if !faults.is_empty() {
+        let path = path.to_owned();
+        return Err(SettingsError::Faults { path, faults });
+    }
+    Ok(settings)
+}
+
+/// Describes a value that is not allowed.
+pub(crate) fn fault(key: &str, value: &str, allowed: &str) -> String {
+    format!("{key} is {value}, but must be {allowed}")
+}
+
+/// Returns the faults of names.
+pub(crate) fn name_faults<'a>(
+    names: &'a [(&str, &String)],
+) -> impl Iterator<Item = String> + use<'a> {
+    let wrong = names.iter().filter(|(_, name)| !is_name(name));
+    wrong.map(|(key, name)| fault(key, &format!("{name:?}"), NAMES))
+}
+
+/// Returns the faults of values that are out of their ranges.
+pub(crate) fn range_faults<S>(limits: &[Limit<S>], settings: &S) -> impl Iterator<Item = String> {
+    limits.iter().filter_map(|limit| {
+        let value = limit.violation(settings)?;
+        Some(fault(limit.key, &value, &limit.allowed()))
+    })
 }
 
 impl Settings {
     /// Reads and checks a file.
     pub fn read(path: &Path) -> Result<Settings, SettingsError> {
-        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
-            path: path.to_owned(),
-            source,
-        })?;
-        Settings::parse(&text, path)
+        Settings::parse(&read_text(path)?, path)
     }
 
     /// Parses and checks the text of a file.
     pub fn parse(text: &str, path: &Path) -> Result<Settings, SettingsError> {
-        let settings: Settings = toml::from_str(text).map_err(|source| SettingsError::Parse {
-            path: path.to_owned(),
-            source: Box::new(source),
-        })?;
-        settings.check(path)?;
-        Ok(settings)
+        parse_text(text, path, Settings::faults)
     }
 
-    fn check(&self, path: &Path) -> Result<(), SettingsError> {
-        let range = |key, value: String, allowed: String| SettingsError::Range {
-            path: path.to_owned(),
-            key,
-            value,
-            allowed,
-        };
-        for (key, name) in [
+    /// Returns all values that are not allowed.
+    fn faults(&self) -> Vec<String> {
+        let names = [
             ("instance.name", &self.instance.name),
             ("instance.zone", &self.instance.zone),
-        ] {
-            if !is_name(name) {
-                return Err(range(key, format!("{name:?}"), NAMES.to_owned()));
-            }
-        }
-        for limit in LIMITS {
-            if let Some(value) = limit.violation(self) {
-                return Err(range(limit.key, value, limit.allowed()));
-            }
-        }
-        for (key, value, good, allowed) in self.relations() {
-            if !good {
-                return Err(range(key, value, allowed.to_owned()));
-            }
-        }
-        Ok(())
+        ];
+        let relations = self.relations().into_iter();
+        let relations = relations.filter(|(_, _, good, _)| !good);
+        let relations = relations.map(|(key, value, _, allowed)| fault(key, &value, allowed));
+        name_faults(&names)
+            .chain(range_faults(LIMITS, self))
+            .chain(relations)
+            .collect()
     }
 
     /// Returns the keys whose values depend on others, with the value, whether it is good, and
@@ -225,9 +242,9 @@
 }
 
 /// What is allowed as the name of an instance or a zone.
-pub(crate) const NAMES: &str = "1 to 63 characters of a-z, 0-9, '-' and '.'";
+const NAMES: &str = "1 to 63 characters of a-z, 0-9, '-' and '.'";
 
-pub(crate) fn is_name(name: &str) -> bool {
+fn is_name(name: &str) -> bool {
     let allowed = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-' || b == b'.';
     !name.is_empty() && name.len() <= 63 && name.bytes().all(allowed)
 }
