Log failures to accept, receive, send and probe

Cause: a connection that could not be accepted, a datagram that was not received, not sent or is no packet, a single failed probe and a refused follower left no log line; retries of the store were logged at debug level only. Failures to receive were counted as failures to send. A reload was logged twice. Ruled out: a line for each failure to accept: without descriptors that is ten lines a second, so the first of a series and its end are logged. Lines on packets are under the limit of lines on flows. Before: refused_connections_are_logged, failed_calls_are_logged and dropped_datagrams_are_logged fail. After: they pass. Conclusion: each swallowed error of the platform mode now has a line.

--- a/daemon/src/dsr/decision_log.rs
+++ b/daemon/src/dsr/decision_log.rs
@@ -1,5 +1,7 @@
-//! Writes decisions as structured log lines: `key=value` pairs, one line a decision.
+//! Writes decisions and lost packets as structured log lines: `key=value` pairs, one line each.
 
+use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use lovagespindle_decisions::Time;
@@ -8,14 +10,15 @@
     Counts, //
 };
 use lovagespindle_decisions::dsr::decision::Decision;
+use lovagespindle_platform::PacketError;
 
 use crate::dsr::metrics::Latencies;
 
-/// The most lines on flows in a second. Lines on beliefs are always written. An instance of today's
-/// size opens about 60 flows a second.
+/// The most lines on flows and packets in a second. Lines on beliefs are always written. An
+/// instance of today's size opens about 60 flows a second.
 const MAX_FLOW_LINES: u32 = 400;
 
-/// Writes decisions, at most so many on flows in a second.
+/// Writes decisions and lost packets, at most so many on flows and packets in a second.
 pub struct DecisionLog {
     latencies: Latencies,
     /// The second since the start that `lines` counts.
@@ -52,6 +55,30 @@
         }
     }
 
+    /// Writes that a datagram is not a packet.
+    pub fn write_malformed(&mut self, now: Time, length: usize, error: &PacketError) {
+        if self.admit(now) {
+            let reason = error.to_string();
+            log::warn!("event=packet_malformed length={length} reason={reason:?}");
+        }
+    }
+
+    /// Writes that a datagram was not sent.
+    pub fn write_unsent(&mut self, now: Time, to: SocketAddr, error: &io::Error) {
+        if self.admit(now) {
+            let reason = error.to_string();
+            log::warn!("event=packet_unsent to={to} reason={reason:?}");
+        }
+    }
+
+    /// Writes that the socket could not be read.
+    pub fn write_receive_failure(&mut self, now: Time, error: &io::Error) {
+        if self.admit(now) {
+            let reason = error.to_string();
+            log::warn!("event=receive_failed reason={reason:?}");
+        }
+    }
+
     fn admit(&mut self, now: Time) -> bool {
         let second = now.since_start().as_secs();
         if second != self.second {
--- a/daemon/src/dsr/forwarder.rs
+++ b/daemon/src/dsr/forwarder.rs
@@ -168,7 +168,10 @@
                 Ok(length) => self.handle(length),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return true,
                 // An earlier datagram was refused by its receiver; nothing is lost here.
-                Err(_) => self.counts.add(Count::Unsent),
+                Err(error) => {
+                    self.counts.add(Count::ReceiveFailures);
+                    self.log.write_receive_failure(self.clock.now(), &error);
+                }
             }
         }
         false
@@ -178,7 +181,10 @@
         let now = self.clock.now();
         match packet::decode(&self.incoming[..length]) {
             Ok(segment) => self.forward(now, &segment, length),
-            Err(_) => self.counts.add(Count::Malformed),
+            Err(error) => {
+                self.counts.add(Count::Malformed);
+                self.log.write_malformed(now, length, &error);
+            }
         }
     }
 
@@ -207,8 +213,9 @@
 
     /// Sends what is encoded. A datagram that the system does not take is lost, as on the way.
     fn send(&mut self, to: SocketAddr) {
-        if self.socket.try_send_to(&self.outgoing, to).is_err() {
+        if let Err(error) = self.socket.try_send_to(&self.outgoing, to) {
             self.counts.add(Count::Unsent);
+            self.log.write_unsent(self.clock.now(), to, &error);
         }
     }
 
--- a/daemon/src/dsr/http.rs
+++ b/daemon/src/dsr/http.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::future::Future;
-use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -14,14 +13,12 @@
     StatusCode, //
 };
 use hyper_util::rt::TokioIo;
+use lovagespindle_instances::accept::Listener;
 use tokio::net::{
     TcpListener,
     TcpStream, //
 };
 
-/// The pause after a connection could not be accepted, for instance for want of descriptors.
-const PAUSE: Duration = Duration::from_millis(10);
-
 /// A status and the text of a page.
 pub type Page = (StatusCode, String);
 
@@ -33,13 +30,10 @@
 ) where
     F: Future<Output = Page> + Send + 'static,
 {
+    let mut listener = Listener::new(listener, path);
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(answer(stream, path, page.clone()));
-            }
-            Err(_) => tokio::time::sleep(PAUSE).await,
-        }
+        let stream = listener.accept().await;
+        tokio::spawn(answer(stream, path, page.clone()));
     }
 }
 
--- a/daemon/src/dsr/prober.rs
+++ b/daemon/src/dsr/prober.rs
@@ -40,8 +40,11 @@
 
 /// A refusal does not count: a cut on the way may cause it as well.
 async fn reach(address: &SocketAddrV4) -> bool {
-    matches!(
-        timeout(PATIENCE, TcpStream::connect(address)).await,
-        Ok(Ok(_))
-    )
+    let reason = match timeout(PATIENCE, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => return true,
+        Ok(Err(error)) => error.to_string(),
+        Err(_) => "no answer in time".to_owned(),
+    };
+    log::info!("event=probe_failed address={address} reason={reason:?}");
+    false
 }
--- a/daemon/src/dsr/publisher.rs
+++ b/daemon/src/dsr/publisher.rs
@@ -145,6 +145,10 @@
             let wait = question.request.wait.min(MAX_WAIT);
             let until = now + wait;
             self.waiting.push(Waiting { question, until });
+        } else {
+            // The asker's connection is closed, and it tries another instance.
+            let asker = question.request.sender.address;
+            log::warn!("event=news_refused peer={asker} waiting={MAX_WAITING}");
         }
     }
 
--- a/daemon/src/dsr/reload.rs
+++ b/daemon/src/dsr/reload.rs
@@ -50,7 +50,6 @@
             false => changed.join(","),
         };
         log::info!("event=reload changed={list}");
-        log::info!("event=reload changed={}", changed.join(","));
         for part in changed {
             match part {
                 "instance" | "listen" => {
--- a/daemon/src/dsr/store_follower.rs
+++ b/daemon/src/dsr/store_follower.rs
@@ -98,7 +98,7 @@
         if self.connected.send_replace(false) {
             log::warn!("event=store_lost reason={reason:?}");
         } else {
-            log::debug!("event=store_retry reason={reason:?}");
+            log::info!("event=store_retry reason={reason:?}");
         }
         sleep(self.pause).await;
         self.pause = (self.pause * 2).min(self.settings.longest_pause);
--- a/daemon/tests/dsr.rs
+++ b/daemon/tests/dsr.rs
@@ -125,6 +125,33 @@
         fleet.open(daemon, opening(1)).await;
     }
 
+    /// Guards against connections that cannot be accepted without a word in the log.
+    refused_connections_are_logged(11, fleet) => {
+        let daemon = fleet.daemon(&[]).await;
+        fleet.until_ready(daemon, true).await;
+        let limit = fleet.limit_descriptors(daemon, Some(0));
+        let waiting = fleet.connect_metrics(daemon).await;
+        fleet.until_line_of(daemon, "event=accept_failed purpose=/metrics").await;
+        fleet.limit_descriptors(daemon, limit);
+        fleet.until_line_of(daemon, "event=accept_resumed purpose=/metrics").await;
+        drop(waiting);
+    }
+
+    /// Guards against a store that stays away without a word in the log.
+    failed_calls_are_logged(12, fleet) => {
+        fleet.store.set_fault(Fault::Down);
+        let daemon = fleet.daemon(&[]).await;
+        fleet.until_line_of(daemon, "event=store_retry").await;
+    }
+
+    /// Guards against datagrams that are dropped without a word in the log.
+    dropped_datagrams_are_logged(13, fleet) => {
+        let daemon = fleet.daemon(&[]).await;
+        fleet.until_ready(daemon, true).await;
+        fleet.send(daemon, &opening(1)[..30]);
+        fleet.until_line_of(daemon, "event=packet_malformed length=30").await;
+    }
+
     /// Guards against metrics that miss what was done.
     metrics_are_served(9, fleet) => {
         let daemon = fleet.daemon(&[]).await;
--- a/daemon/tests/dsr_fleet/mod.rs
+++ b/daemon/tests/dsr_fleet/mod.rs
@@ -21,6 +21,8 @@
 use lovagespindle_platform_stand_in::StoreStandIn;
 use rustix::process::{
     Pid,
+    Resource,
+    Rlimit,
     Signal, //
 };
 use tokio::io::{
@@ -161,6 +163,24 @@
         self.daemons[daemon].process.kill().unwrap();
     }
 
+    /// Limits how many descriptors a daemon may open. Returns the limit before.
+    pub(crate) fn limit_descriptors(&self, daemon: usize, limit: Option<u64>) -> Option<u64> {
+        let process = Pid::from_child(&self.daemons[daemon].process);
+        let before = rustix::process::getrlimit(Resource::Nofile);
+        let limits = Rlimit {
+            current: limit,
+            maximum: before.maximum,
+        };
+        let before = rustix::process::prlimit(Some(process), Resource::Nofile, limits).unwrap();
+        before.current
+    }
+
+    /// Opens a connection to a daemon's metrics.
+    pub(crate) async fn connect_metrics(&self, daemon: usize) -> TcpStream {
+        let host = self.daemons[daemon].host;
+        TcpStream::connect((host, METRICS)).await.unwrap()
+    }
+
     /// Returns whether a daemon ends by itself in time.
     pub(crate) async fn ended(&mut self, daemon: usize, within: Duration) -> bool {
         let deadline = Instant::now() + within;
--- a/decisions/src/dsr/counts.rs
+++ b/decisions/src/dsr/counts.rs
@@ -27,8 +27,10 @@
     Drops,
     /// Datagrams that are no packets; dropped.
     Malformed,
-    /// Datagrams that the system did not send.
+    /// Datagrams that the operating system did not send.
     Unsent,
+    /// Failures to receive from the socket for packets.
+    ReceiveFailures,
     /// Log lines on flows beyond the limit; not written.
     SuppressedLines,
 }
--- a/instances/src/acceptor.rs
+++ b/instances/src/acceptor.rs
@@ -1,8 +1,5 @@
 //! Accepts the links that other instances open.
 
-use std::io;
-use std::time::Duration;
-
 use kameo::actor::{
     Recipient,
     WeakActorRef, //
@@ -15,6 +12,7 @@
 };
 use tokio::task::JoinSet;
 
+use crate::accept::Listener;
 use crate::counter::{
     LinkCounter,
     LinkCounts, //
@@ -26,10 +24,6 @@
     Report, //
 };
 
-/// How long to wait after the operating system refused to accept. Without file descriptors it
-/// fails at once, again and again.
-const PAUSE: Duration = Duration::from_millis(100);
-
 /// The task that owns the listener.
 pub(crate) struct Acceptor {
     pub(crate) me: InstanceId,
@@ -41,13 +35,11 @@
 impl Acceptor {
     /// Accepts links and starts a task for each; the tasks end with this one.
     pub(crate) async fn run(self, listener: TcpListener) {
+        let mut listener = Listener::new(listener, "links");
         let mut tasks = JoinSet::new();
         loop {
             tokio::select! {
-                accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => self.start(stream, &mut tasks),
-                    Err(error) => pause(error).await,
-                },
+                stream = listener.accept() => self.start(stream, &mut tasks),
                 Some(_) = tasks.join_next() => {}
             }
         }
@@ -71,8 +63,3 @@
         tasks.spawn(incoming.run(stream));
     }
 }
-
-async fn pause(error: io::Error) {
-    log::warn!("no link could be accepted: {error}");
-    tokio::time::sleep(PAUSE).await;
-}
--- a/instances/src/lib.rs
+++ b/instances/src/lib.rs
@@ -1,5 +1,6 @@
 //! Links to other instances: control messages over TCP and relayed packets over UDP.
 
+pub mod accept;
 mod acceptor;
 pub mod counter;
 mod decode;
--- a/instances/src/news_link.rs
+++ b/instances/src/news_link.rs
@@ -17,15 +17,13 @@
     mpsc,
     oneshot, //
 };
-use tokio::time::{
-    sleep,
-    timeout, //
-};
+use tokio::time::timeout;
 use tokio_util::codec::{
     Framed,
     LengthDelimitedCodec, //
 };
 
+use crate::accept::Listener;
 use crate::error::FrameError;
 use crate::news::{
     MAX_FRAME,
@@ -37,9 +35,6 @@
     encode_request, //
 };
 
-/// How long to wait after the operating system refused to accept.
-const PAUSE: Duration = Duration::from_millis(100);
-
 /// How long an accepted connection may be silent. Instances that follow ask again every second.
 const IDLE: Duration = Duration::from_secs(10);
 
@@ -115,15 +110,14 @@
 /// Accepts connections and passes their requests on, until the receiver of the requests is gone.
 pub async fn serve(listener: TcpListener, questions: mpsc::Sender<Question>) {
     let links = std::sync::Arc::new(Semaphore::new(MAX_LINKS));
+    let mut listener = Listener::new(listener, "news");
+    let mut full = false;
     while !questions.is_closed() {
-        // Instances that are not answered try another one.
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(PAUSE).await;
-            continue;
-        };
-        let Ok(link) = links.clone().try_acquire_owned() else {
-            continue;
-        };
+        let stream = listener.accept().await;
+        let link = links.clone().try_acquire_owned().ok();
+        note_full(&mut full, link.is_none());
+        // Instances that are turned away try another one.
+        let Some(link) = link else { continue };
         let questions = questions.clone();
         tokio::spawn(async move {
             if let Err(error) = answer(stream, questions).await {
@@ -134,6 +128,14 @@
     }
 }
 
+/// Logs when connections begin to be turned away, and when that ends.
+fn note_full(full: &mut bool, now: bool) {
+    if *full != now {
+        log::warn!("event=news_links_full full={now} limit={MAX_LINKS}");
+        *full = now;
+    }
+}
+
 async fn answer(stream: TcpStream, questions: mpsc::Sender<Question>) -> Result<(), NewsError> {
     stream.set_nodelay(true)?;
     let mut frames = frames(stream);
