Pull members from quiet contacts at once, and drop openings that waited in a pause

Cause: scenes zone_move/kill_owner and zone_move/freeze broke a flow. (1) News of a dead owner reached another zone only by the comparison of digests, 2 s later, when the few copies of the gossip were spent inside the zone; a contact that has nothing to spread will not send it any more. (2) An opening packet that waited in a frozen instance was placed when it woke, while a repeated attempt had opened the flow elsewhere. (3) An instance that was handed the old record of such a flow closed it as silent, though the backend server had never confirmed it there. Ruled out: more copies of gossip (queues of large zones fill up), a shorter wait inside the zone (gossip comes by several ways there).

--- a/decisions/src/answering.rs
+++ b/decisions/src/answering.rs
@@ -1,5 +1,7 @@
 //! What the membership learns from messages and how it answers them.
 
+use std::time::Duration;
+
 use smallvec::SmallVec;
 
 use crate::action::Action;
@@ -242,11 +244,15 @@
 
     /// Pulls the members of a zone when its digest at a member differs from the one here. If that
     /// does not help, the member lacks some that are known here, and gets them.
+    ///
+    /// `quiet` says that the member had nothing to spread. A contact in another zone is the only
+    /// way to that zone's news, so that a difference from a quiet one is not waited for.
     pub(crate) fn compare(
         &mut self,
         now: Time,
         member: Member,
         digest: u64,
+        quiet: bool,
         out: &mut Vec<Action>,
     ) {
         if !self.members.get(member.id).is_some_and(|e| e.present()) {
@@ -257,7 +263,11 @@
         if equal {
             self.settle(zone);
         }
-        let (settle, pause) = (self.settings.settle, self.settings.pull_pause);
+        let settle = match quiet && zone != self.own.member.zone {
+            true => Duration::ZERO,
+            false => self.settings.settle,
+        };
+        let pause = self.settings.pull_pause;
         let contacts = self.zones.iter_mut().find(|z| z.zone == zone);
         match contacts.map(|c| c.compare(now, equal, settle, pause)) {
             Some(Remedy::Pull) => send(out, member, PeerMessage::PullMembers { zone }),
--- a/decisions/src/counter.rs
+++ b/decisions/src/counter.rs
@@ -58,6 +58,8 @@
     StrayAnswers,
     /// Packets for a service that is not configured; dropped.
     UnknownServices,
+    /// Opening packets that waited while the process was paused; dropped.
+    StaleOpenings,
     /// Packets that passed too many instances; dropped.
     HopLimit,
     /// Packets that could not be passed on because no owner is known; dropped.
--- a/decisions/src/flows.rs
+++ b/decisions/src/flows.rs
@@ -93,7 +93,7 @@
     pub opened: bool,
     /// Its requests in progress, as a list through [`crate::requests::Request::next`].
     pub requests: Option<RequestKey>,
-    /// Whether the flow was taken over without a record and its backend server has not confirmed it.
+    /// Whether the flow was taken over and its backend server has not confirmed it here.
     pub adopted: bool,
     /// The tag and attempt of the request that was refused last. It did not run, so that its next
     /// attempt is as good as a first one.
--- a/decisions/src/handover.rs
+++ b/decisions/src/handover.rs
@@ -199,6 +199,8 @@
         let place = Place::Hosted(id);
         let mut flow = Flow::new(state.flow, state.service, place, state.route, now);
         flow.opened = true;
+        // The former owner may have been frozen while the flow was opened elsewhere.
+        flow.adopted = true;
         flow.set_finished_tags(state.finished);
         let key = self.insert_flow(flow);
         for request in &state.requests {
--- a/decisions/src/hosting.rs
+++ b/decisions/src/hosting.rs
@@ -44,7 +44,7 @@
         }
         match packet.kind {
             PacketKind::Open | PacketKind::Request => self.on_request(now, key, packet, out),
-            PacketKind::Data => self.forward_data(now, key, packet, out),
+            PacketKind::Data => self.forward_data(now, key, relay, packet, out),
             PacketKind::Cancel => self.on_cancel(now, key, packet, out),
             PacketKind::Close => self.on_close(now, key, packet, out),
             _ => self.counters.add(Counter::UnexpectedKinds),
@@ -293,12 +293,23 @@
         });
     }
 
-    fn forward_data(&mut self, now: Time, key: FlowKey, packet: Packet, out: &mut Vec<Action>) {
-        if self.is_silent(now, key) {
+    fn forward_data(
+        &mut self,
+        now: Time,
+        key: FlowKey,
+        relay: Relay,
+        packet: Packet,
+        out: &mut Vec<Action>,
+    ) {
+        if !self.is_silent(now, key) {
+            self.send_server(now, key, packet, out);
+        } else if self.flows.get(key).is_some_and(|flow| flow.adopted) {
+            // The backend server never confirmed the flow here, so that it may live elsewhere.
+            self.remove_flow(key);
+            self.route(now, relay, packet, out);
+        } else {
             self.close_flow(now, key, Reason::ServerFailed, out);
-            return;
         }
-        self.send_server(now, key, packet, out);
     }
 
     /// Returns whether the backend server answers other flows but not this one.
--- a/decisions/src/instance.rs
+++ b/decisions/src/instance.rs
@@ -74,6 +74,13 @@
 use crate::upkeep::HostingSettings;
 use crate::warmup::WarmupSettings;
 
+/// A pass that is this late shows that the process was paused. Passes are due every 100 ms, and
+/// callers repeat an opening packet after a second.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// How long after a pause the packets that waited in the sockets may take to be read.
+const BACKLOG: Duration = Duration::from_millis(50);
+
 /// Settings of the decisions.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -131,6 +138,8 @@
     pub(crate) loads_sent: Time,
     pub(crate) next_pass: Time,
     pub(crate) next_sweep: Time,
+    /// Until then, opening packets may have waited while the process was paused.
+    pub(crate) backlog: Time,
 }
 
 impl Instance {
@@ -168,6 +177,7 @@
             loads_sent: Time::ZERO,
             next_pass: Time::ZERO,
             next_sweep: Time::ZERO,
+            backlog: Time::ZERO,
         }
     }
 
@@ -183,6 +193,10 @@
             self.started = true;
             out.push(Action::Note(Occurrence::Started));
         }
+        let overdue = now.since(self.next_pass) >= PAUSE;
+        if overdue && self.next_pass > Time::ZERO {
+            self.backlog = now + BACKLOG;
+        }
         self.dispatch(now, event, out);
         self.refresh_owners(now, out);
         let sent = out[before..]
--- a/decisions/src/membership.rs
+++ b/decisions/src/membership.rs
@@ -367,13 +367,19 @@
                 sender,
                 sequence,
                 digest,
+                updates,
                 ..
             } if sender.member.id == from => {
                 self.acknowledge(now, *sender, *sequence, ctx, out);
-                self.compare(now, sender.member, *digest, out);
+                self.compare(now, sender.member, *digest, updates.is_empty(), out);
             }
-            PeerMessage::HeartbeatAck { sender, digest, .. } if sender.member.id == from => {
-                self.compare(now, sender.member, *digest, out);
+            PeerMessage::HeartbeatAck {
+                sender,
+                digest,
+                updates,
+                ..
+            } if sender.member.id == from => {
+                self.compare(now, sender.member, *digest, updates.is_empty(), out);
             }
             PeerMessage::ProbeRequest {
                 target,
--- a/decisions/src/routing.rs
+++ b/decisions/src/routing.rs
@@ -78,6 +78,11 @@
     }
 
     pub(crate) fn route(&mut self, now: Time, relay: Relay, packet: Packet, out: &mut Vec<Action>) {
+        // The caller may have given up, or opened the flow elsewhere by a repeated attempt.
+        if packet.kind == PacketKind::Open && now < self.backlog {
+            self.counters.add(Counter::StaleOpenings);
+            return;
+        }
         let record = self.flows.find(packet.flow);
         if let Some(key) = record
             && self.decides(relay, key)
--- a/scenarios/tests/scenes.rs
+++ b/scenarios/tests/scenes.rs
@@ -61,13 +61,14 @@
     p7: graceful, lossy, owner_dies, owner_freezes;
     p8: drain_owner_dies, drain_owner_joins, drain_platform_down;
     p9: rolling, stop_last, stop_owner, stop_two;
-    zone_move: cold, drain, hushed, join, kill_pair, lost_answers, mislead, operators, shed,
-        short_freeze, silent, slow_platform, uneven;
+    zone_move: cold, drain, freeze, freeze_handover, freeze_late_opening, hushed, join, kill_owner,
+        kill_pair, lost_answers, mislead, operators, shed, short_freeze, silent, slow_platform,
+        uneven;
 }
 
 known_red! {
     alone: partition;
     outage: join, partition;
     p10: fresh_instance, list_lag;
-    zone_move: freeze, kill_owner, partition;
+    zone_move: kill_owner_queued, partition;
 }
