Do not take a zone's backend servers for warm that came back cold

Cause: backend servers of a zone that comes back may be cold, and say so only with their next heartbeat. (1) An instance that starts within that second reads that the zone is in service and that its entries are warm, and opens flows there; all instances together then exceed what a cold backend server may get. (2) While the store is away, the heartbeat does not come through at all, and the wait of 1.5 s was over before the 2 s of the warm-up. Ruled out: a wait for all backend servers after each start (1.2 s without service after all instances were killed), and the instances' memory alone (all may be killed at once). Change: a fresh instance also reads the latest changes of zones from the store's history, up to 64 revisions back, or as far as the store remembers; instances tell each other of removals. An entry that was not written since the return counts as warm only after news that are a heartbeat younger, or after the longest warm-up. Known instances are kept in order, so that a seed gives the same choices. Before: fresh_instance_waits_for_a_zone_that_came_back and returned_zone_waits_longer_without_the_store fail. zone_out_gets_no_flow now lets the store confirm its news, as it does each second.

--- a/daemon/src/dsr/store_follower.rs
+++ b/daemon/src/dsr/store_follower.rs
@@ -29,6 +29,11 @@
 /// How long the store may leave sent bytes unacknowledged before a connection breaks.
 const SILENCE: Duration = Duration::from_millis(1_500);
 
+/// How many revisions before the present one a fresh instance looks back for zones that came back.
+/// The first covers two seconds of the fastest changes; a quiet store has forgotten all but the
+/// last.
+const LOOKS_BACK: [u64; 4] = [64, 16, 4, 1];
+
 /// Why the store cannot be followed.
 #[derive(Debug, thiserror::Error)]
 enum FollowError {
@@ -141,11 +146,35 @@
             page = timeout(patience, store.read(Some(&next))).await??;
             documents.append(&mut page.documents);
         }
+        documents.append(&mut self.read_zone_returns(store, at).await?);
         self.tell(documents, at, Scope::All).await;
         self.compacted = false;
         Ok(at)
     }
 
+    /// Reads which zones came back not long before `at`: their backend servers may be cold and not
+    /// have said so. How far back the history goes is not known.
+    async fn read_zone_returns(
+        &self,
+        store: &mut Store,
+        at: Revision,
+    ) -> Result<Vec<Document>, FollowError> {
+        for back in LOOKS_BACK {
+            let after = Revision(at.0.saturating_sub(back));
+            let call = store.zone_changes(after);
+            match timeout(self.settings.answer_timeout, call).await? {
+                Ok(page) => {
+                    let removed = |d: &Document| d.value.is_none() && d.revision <= at;
+                    return Ok(page.documents.into_iter().filter(removed).collect());
+                }
+                Err(StoreError::Compacted) => {}
+                Err(error) => return Err(error.into()),
+            }
+        }
+        log::info!("event=history_unknown revision={}", at.0);
+        Ok(Vec::new())
+    }
+
     async fn tell(&mut self, documents: Vec<Document>, at: Revision, scope: Scope) {
         if !self.connected.send_replace(true) {
             log::info!("event=store_connected revision={}", at.0);
--- a/daemon/tests/dsr.rs
+++ b/daemon/tests/dsr.rs
@@ -9,6 +9,10 @@
     opening, //
 };
 use lovagespindle_platform_stand_in::Fault;
+use lovagespindle_platform_stand_in::documents::{
+    zone_back,
+    zone_out, //
+};
 use rustix::process::Signal;
 
 macro_rules! cases {
@@ -144,6 +148,18 @@
         fleet.until_line_of(daemon, "event=store_retry").await;
     }
 
+    /// Guards against a fresh instance that does not know that a zone came back a moment ago, from
+    /// the store and from another instance.
+    fresh_daemon_learns_of_a_zone_that_came_back(14, fleet) => {
+        fleet.store.write(zone_out("a"));
+        fleet.store.write(zone_back("a"));
+        let first = fleet.daemon(&[]).await;
+        fleet.until_line_of(first, "event=zone zone=a out=false").await;
+        fleet.store.set_fault(Fault::Down);
+        let second = fleet.daemon(&[first]).await;
+        fleet.until_line_of(second, "event=zone zone=a out=false").await;
+    }
+
     /// Guards against datagrams that are dropped without a word in the log.
     dropped_datagrams_are_logged(13, fleet) => {
         let daemon = fleet.daemon(&[]).await;
--- a/decisions/src/dsr/archive.rs
+++ b/decisions/src/dsr/archive.rs
@@ -24,7 +24,8 @@
 #[derive(Debug, Default)]
 pub struct Archive {
     documents: BTreeMap<Arc<str>, Document>,
-    /// The changes after `floor` up to `at`, in the order of the store.
+    /// The changes after `floor` up to `at`, in the order of the store, and removals before that
+    /// came with everything else.
     recent: VecDeque<Document>,
     floor: Revision,
     /// Everything up to this revision is known.
@@ -57,9 +58,13 @@
     }
 
     fn replace(&mut self, bulletin: &Bulletin) {
-        let documents = bulletin.documents.iter();
-        self.documents = documents.map(|d| (d.key.clone(), d.clone())).collect();
-        self.recent.clear();
+        let (held, removed): (Vec<_>, Vec<_>) = bulletin
+            .documents
+            .iter()
+            .cloned()
+            .partition(|d| d.value.is_some());
+        self.documents = held.into_iter().map(|d| (d.key.clone(), d)).collect();
+        self.recent = removed.into();
         self.floor = bulletin.at;
     }
 
@@ -84,12 +89,15 @@
         }
     }
 
-    /// Returns what happened after a revision, or everything if that is not known any more. Returns
-    /// nothing if the store never confirmed anything.
+    /// Returns what happened after a revision, or everything if that is not known any more, with
+    /// removals of not long ago: they tell that a zone came back. Returns nothing if the store never
+    /// confirmed anything.
     pub fn since(&self, now: Time, known: Revision) -> Option<Bulletin> {
         let age = self.age(now)?;
         let (scope, documents) = if known < self.floor {
-            (Scope::All, self.documents.values().cloned().collect())
+            let removed = self.recent.iter().filter(|d| d.value.is_none());
+            let held = self.documents.values();
+            (Scope::All, held.chain(removed).cloned().collect())
         } else {
             let newer = self.recent.iter().filter(|d| d.revision > known);
             (Scope::After(known), newer.cloned().collect())
--- a/decisions/src/dsr/balancer.rs
+++ b/decisions/src/dsr/balancer.rs
@@ -114,13 +114,8 @@
 
     /// Takes news of the store.
     pub fn learn(&mut self, now: Time, news: News) {
-        let Balancer {
-            beliefs,
-            settings,
-            log,
-            ..
-        } = self;
-        beliefs.apply(now, news, settings, log);
+        let Balancer { beliefs, log, .. } = self;
+        beliefs.apply(now, news, log);
         if self.beliefs.table.is_some() {
             self.open_kept(now);
         }
--- a/decisions/src/dsr/beliefs.rs
+++ b/decisions/src/dsr/beliefs.rs
@@ -59,37 +59,33 @@
         self.table.as_ref().map_or(0, |table| table.version)
     }
 
+    /// Returns the longest time that a backend server stays cold.
+    pub(super) fn warm_up(&self) -> Duration {
+        self.table
+            .as_ref()
+            .map_or(Duration::ZERO, |table| table.warm_up)
+    }
+
     /// Takes news over. The beliefs are complete up to their revision: what is not newer changes
     /// nothing, and what leaves a gap cannot be used.
-    pub(super) fn apply(
-        &mut self,
-        now: Time,
-        news: News,
-        settings: &Settings,
-        log: &mut Vec<Decision>,
-    ) {
+    pub(super) fn apply(&mut self, now: Time, mut news: News, log: &mut Vec<Decision>) {
         match news.scope {
             Scope::After(base) if base > self.revision => return,
             Scope::All if news.at > self.revision => {
-                self.remove_missing(now, &news, settings, log);
+                news.changes.sort_by_key(|change| change.revision);
+                self.remove_missing(now, &news, log);
             }
             Scope::After(_) | Scope::All => {}
         }
         self.heard = self.heard.max(Some(now - news.age));
         let known = self.revision;
         for change in news.changes.into_iter().filter(|c| c.revision > known) {
-            self.change(now, change, settings, log);
+            self.change(now, change, log);
         }
         self.revision = self.revision.max(news.at);
     }
 
-    fn change(
-        &mut self,
-        now: Time,
-        change: Dated<Change>,
-        settings: &Settings,
-        log: &mut Vec<Decision>,
-    ) {
+    fn change(&mut self, now: Time, change: Dated<Change>, log: &mut Vec<Decision>) {
         let revision = change.revision;
         match change.change {
             Change::Routes(table) => self.put_routes(table, revision, log),
@@ -114,7 +110,7 @@
                     });
                 }
             }
-            Change::ZoneBack(zone) => self.return_zone(now, zone, revision, settings, log),
+            Change::ZoneBack(zone) => self.return_zone(now, zone, revision, log),
         }
     }
 
@@ -156,6 +152,7 @@
         };
         if let Some(server) = self.servers.get_mut(key) {
             server.warm = now + entry.cold_for;
+            server.returned = None;
             server.target.address = entry.address;
             server.entry = entry;
         }
@@ -174,6 +171,7 @@
             listing: Listing::Ready,
             revision: Revision(0),
             warm: Time::ZERO,
+            returned: None,
             evidence: Evidence::none(),
             busy: 0,
         })
@@ -221,22 +219,22 @@
         });
     }
 
+    /// A zone is back in service. Its backend servers may have become cold, and those that have not
+    /// written their entries since may not have said so yet.
     fn return_zone(
         &mut self,
         now: Time,
         zone: Arc<str>,
         revision: Revision,
-        settings: &Settings,
         log: &mut Vec<Decision>,
     ) {
-        if !self.out.remove(&zone) {
-            return;
-        }
+        self.out.remove(&zone);
         let keys: Vec<ServerKey> = self.servers.iter().map(|(key, _)| key).collect();
         for key in keys {
             let server = self.servers.get_mut(key);
-            if let Some(server) = server.filter(|server| server.entry.zone == zone) {
-                server.warm = server.warm.max(now + settings.zone_return);
+            let silent = |server: &&mut Server| server.revision < revision;
+            if let Some(server) = server.filter(|s| s.entry.zone == zone).filter(silent) {
+                server.returned = Some(now);
             }
         }
         let out = false;
@@ -248,13 +246,7 @@
     }
 
     /// Everything that the store holds is known: what is missing there is gone.
-    fn remove_missing(
-        &mut self,
-        now: Time,
-        news: &News,
-        settings: &Settings,
-        log: &mut Vec<Decision>,
-    ) {
+    fn remove_missing(&mut self, now: Time, news: &News, log: &mut Vec<Decision>) {
         let mut listed = HashSet::new();
         let mut out = HashSet::new();
         for change in &news.changes {
@@ -275,7 +267,7 @@
         }
         let back: Vec<_> = self.out.difference(&out).cloned().collect();
         for zone in back {
-            self.return_zone(now, zone, news.at, settings, log);
+            self.return_zone(now, zone, news.at, log);
         }
     }
 
--- a/decisions/src/dsr/news.rs
+++ b/decisions/src/dsr/news.rs
@@ -72,7 +72,7 @@
 /// What documents or changes cover.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Scope {
-    /// Everything that the store holds.
+    /// Everything that the store holds, and removals of not long ago.
     All,
     /// Everything that changed after a revision. It is of no use to those who know less.
     After(Revision),
--- a/decisions/src/dsr/opening.rs
+++ b/decisions/src/dsr/opening.rs
@@ -242,6 +242,8 @@
             now,
             zone: &self.zone,
             out: &self.beliefs.out,
+            heard: self.beliefs.heard.unwrap_or(Time::ZERO),
+            warm_up: self.beliefs.warm_up(),
             settings: &self.settings,
         };
         let servers = &self.beliefs.servers;
--- a/decisions/src/dsr/peers.rs
+++ b/decisions/src/dsr/peers.rs
@@ -1,6 +1,6 @@
 //! The other instances, and which of them to ask for news.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
@@ -49,7 +49,8 @@
     own: SocketAddrV4,
     zone: Arc<str>,
     seeds: Vec<SocketAddrV4>,
-    records: HashMap<SocketAddrV4, Record>,
+    /// In order, so that the same seed makes the same choices.
+    records: BTreeMap<SocketAddrV4, Record>,
     random: Pcg32,
 }
 
@@ -60,7 +61,7 @@
             own,
             zone: zone.into(),
             seeds: seeds.iter().copied().filter(|at| *at != own).collect(),
-            records: HashMap::new(),
+            records: BTreeMap::new(),
             random: Pcg32::seed_from_u64(seed),
         }
     }
--- a/decisions/src/dsr/placement.rs
+++ b/decisions/src/dsr/placement.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand_core::RngCore;
 use rand_pcg::Pcg32;
@@ -39,6 +40,10 @@
     pub(super) zone: &'a str,
     /// Zones out of service.
     pub(super) out: &'a HashSet<Arc<str>>,
+    /// When the store last said how things are.
+    pub(super) heard: Time,
+    /// The longest time that a backend server stays cold.
+    pub(super) warm_up: Duration,
     /// The settings.
     pub(super) settings: &'a Settings,
 }
@@ -49,6 +54,9 @@
         if self.out.contains(&server.entry.zone) || self.now < server.warm {
             return None;
         }
+        if server.returned.is_some_and(|since| self.may_be_cold(since)) {
+            return None;
+        }
         let listed = match server.listing {
             Listing::Ready => Tier::Normal,
             Listing::Lapsed(_) => Tier::Doubtful,
@@ -63,6 +71,13 @@
         })
     }
 
+    /// Returns whether a backend server may be cold that has not written its entry since its zone
+    /// came back. It says so with its next heartbeat, but only if it reaches the store.
+    fn may_be_cold(&self, since: Time) -> bool {
+        let told = since + self.settings.zone_return;
+        self.now < told || self.heard < told && self.now < since + self.warm_up
+    }
+
     /// Returns the busy flows of a backend server for each of its slots, with the preference for the
     /// own zone added to others, in parts of [`COST_SCALE`].
     fn cost(&self, server: &Server) -> u64 {
--- a/decisions/src/dsr/routes.rs
+++ b/decisions/src/dsr/routes.rs
@@ -18,6 +18,8 @@
     pub routes: HashMap<SocketAddrV4, Route>,
     /// How long a flow may be idle.
     pub idle: Duration,
+    /// The longest time that a backend server of any service stays cold after its start.
+    pub warm_up: Duration,
 }
 
 /// What one address leads to.
--- a/decisions/src/dsr/servers.rs
+++ b/decisions/src/dsr/servers.rs
@@ -51,6 +51,8 @@
     pub(super) revision: Revision,
     /// When it is warm.
     pub(super) warm: Time,
+    /// When its zone came back, if it has not written its entry since. It may be cold.
+    pub(super) returned: Option<Time>,
     /// What passing packets tell.
     pub(super) evidence: Evidence,
     /// Flows that this instance opened there and that are busy.
--- a/decisions/src/dsr/settings.rs
+++ b/decisions/src/dsr/settings.rs
@@ -33,7 +33,8 @@
     #[serde(with = "humantime_serde")]
     pub lapse: Duration,
     /// How long a zone that is back in service waits for its first flows. Its backend servers may
-    /// be cold and have yet to say so in their next heartbeat.
+    /// be cold and have yet to say so in their next heartbeat. While the store is away, the wait is
+    /// as long as they stay cold.
     #[serde(with = "humantime_serde")]
     pub zone_return: Duration,
     /// How many more busy flows a backend server of the own zone may have than one of another zone
--- a/decisions/tests/dsr.rs
+++ b/decisions/tests/dsr.rs
@@ -47,6 +47,33 @@
         }
     }
 
+    /// Guards against a fresh instance that takes the backend servers of a zone for warm that came
+    /// back a moment ago, because they have not written their entries since.
+    fresh_instance_waits_for_a_zone_that_came_back => {
+        let mut rig = Rig::new();
+        rig.serve_after_return("a");
+        for _ in 0..8 {
+            assert_eq!(rig.zone_of_open(), "b");
+        }
+        rig.wait(ms(1_600));
+        rig.hear();
+        let zones: Vec<_> = (0..8).map(|_| rig.zone_of_open()).collect();
+        assert!(zones.contains(&"a"), "{zones:?}");
+    }
+
+    /// Guards against backend servers that came back cold and cannot say so, as the store is away.
+    returned_zone_waits_longer_without_the_store => {
+        let mut rig = Rig::new();
+        rig.serve();
+        rig.learn(Change::ZoneOut("a".into()));
+        rig.learn(Change::ZoneBack("a".into()));
+        rig.wait(ms(1_900));
+        assert_eq!(rig.zone_of_open(), "b");
+        rig.wait(ms(150));
+        let zones: Vec<_> = (0..8).map(|_| rig.zone_of_open()).collect();
+        assert!(zones.contains(&"a"), "{zones:?}");
+    }
+
     /// Guards against flows at a zone that operators took out, and too early ones at its return.
     zone_out_gets_no_flow => {
         let mut rig = Rig::new();
@@ -58,6 +85,7 @@
         rig.play(8, ms(10));
         assert_eq!(rig.opens(1) + rig.opens(2), 0);
         rig.wait(ms(1_500));
+        rig.hear();
         rig.play(8, ms(10));
         assert_eq!(rig.opens(1) + rig.opens(2), 8);
     }
--- a/decisions/tests/dsr_rig/mod.rs
+++ b/decisions/tests/dsr_rig/mod.rs
@@ -85,6 +85,7 @@
         version,
         routes: services.iter().map(|at| (*at, route.clone())).collect(),
         idle: ms(15_000),
+        warm_up: ms(2_000),
     }
 }
 
@@ -140,6 +141,35 @@
         self.balancer.learn(self.now, news);
     }
 
+    /// Serves as [`Rig::serve`], with a zone that came back after its backend servers wrote their
+    /// entries. Removals may come in front of what is held.
+    pub(crate) fn serve_after_return(&mut self, zone: &str) {
+        let back = Dated {
+            revision: Revision(2),
+            change: Change::ZoneBack(zone.into()),
+        };
+        let servers = [(1, "a"), (2, "a"), (3, "b"), (4, "b")];
+        let servers = servers.iter().map(|(number, zone)| {
+            Change::Server(format!("s{number}").into(), entry(*number, zone))
+        });
+        let routes = Change::Routes(table(1, &[SERVICE]));
+        let dated = |change| Dated {
+            revision: Revision(1),
+            change,
+        };
+        self.revision = 2;
+        let news = News {
+            changes: [back]
+                .into_iter()
+                .chain(servers.chain([routes]).map(dated))
+                .collect(),
+            at: Revision(2),
+            scope: Scope::All,
+            age: Duration::ZERO,
+        };
+        self.balancer.learn(self.now, news);
+    }
+
     pub(crate) fn learn(&mut self, change: Change) {
         self.revision += 1;
         let revision = Revision(self.revision);
@@ -152,6 +182,18 @@
         self.balancer.learn(self.now, news);
     }
 
+    /// Hears from the store that nothing has changed.
+    pub(crate) fn hear(&mut self) {
+        let at = Revision(self.revision);
+        let news = News {
+            changes: Vec::new(),
+            at,
+            scope: Scope::After(at),
+            age: Duration::ZERO,
+        };
+        self.balancer.learn(self.now, news);
+    }
+
     /// Learns a change without what came before.
     pub(crate) fn learn_after_gap(&mut self, change: Change) {
         self.revision += 1;
