Add an emulator of the users' platform under virtual time

Judges see what clients and backend servers see; requests that are lost are counted by cause. Policies can be compared with the same requests, with an interval, and against one that knows what is true.

The news between instances and the store follow the daemon's tasks, modelled anew in virtual time, as those are asynchronous.

--- /dev/null
+++ b/scenarios/src/dsr/clients.rs
@@ -0,0 +1,320 @@
+//! Clients: requests, their attempts, and the client's end of each flow.
+
+use std::net::{
+    Ipv4Addr,
+    SocketAddrV4, //
+};
+use std::time::Duration;
+
+use lovagespindle_decisions::Time;
+use lovagespindle_decisions::dsr::segment::{
+    FlowTuple,
+    Opening,
+    SegmentKind,
+    Tag, //
+};
+
+use super::measure::Loss;
+use super::network::Gap;
+use super::servers::ServerKey;
+use super::world::{
+    Event,
+    World, //
+};
+
+/// When copies of an opening packet are sent, after the first.
+const COPIES: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(600)];
+/// When an attempt ends that did not open its flow.
+const GIVE_UP: Duration = Duration::from_millis(1_400);
+/// The first wait before a packet is sent again, and the longest.
+pub(super) const RESENDS: (Duration, Duration) =
+    (Duration::from_millis(200), Duration::from_millis(1_600));
+/// How often a request is tried again.
+const RETRIES: u32 = 2;
+/// The pause before a request is tried again.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Names a request.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(super) struct RequestKey(pub(super) usize);
+
+/// Names a flow.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(super) struct FlowKey(pub(super) usize);
+
+/// A request of a client.
+pub(super) struct Request {
+    pub(super) class: usize,
+    pub(super) zone: usize,
+    pub(super) started: Time,
+    retries: u32,
+    pub(super) done: bool,
+}
+
+/// How far the client's end of a flow is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Stage {
+    Opening,
+    /// The client answered that server's handshake.
+    Open(ServerKey),
+    Done,
+}
+
+/// A flow: one attempt of a request, or a visit of operators.
+pub(super) struct Flow {
+    pub(super) tuple: FlowTuple,
+    pub(super) zone: usize,
+    pub(super) request: Option<RequestKey>,
+    pub(super) sequence: u32,
+    pub(super) started: Time,
+    pub(super) stage: Stage,
+    pub(super) tag: Tag,
+    /// The next part of the answer.
+    round: u32,
+    /// What last kept a packet of it from arriving.
+    pub(super) hint: Loss,
+    /// Where it opened and when, once its backend server has the end of the handshake.
+    pub(super) opened: Option<(ServerKey, Time)>,
+    /// Packets that reached other backend servers since one reached its own, and when the first did.
+    pub(super) strays: Option<(u32, Time)>,
+}
+
+/// What a client sends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Uplink {
+    Open {
+        copy: u32,
+    },
+    /// The end of the handshake, with the request.
+    Request(ServerKey),
+    /// Acknowledges a part of the answer.
+    Part(u32),
+    Finish,
+}
+
+impl Uplink {
+    pub(super) fn kind(&self, sequence: u32) -> SegmentKind {
+        match self {
+            Uplink::Open { copy } => SegmentKind::Open(Opening {
+                sequence,
+                copy: *copy,
+                checksum: 0,
+            }),
+            Uplink::Request(_) | Uplink::Part(_) => SegmentKind::Data,
+            Uplink::Finish => SegmentKind::Finish,
+        }
+    }
+}
+
+/// What a client receives.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Downlink {
+    /// A backend server answers an opening packet.
+    Accepted(ServerKey, Tag),
+    /// A part of the answer, and whether it is the last.
+    Part(ServerKey, Tag, u32, bool),
+    /// The backend server did not run the request.
+    Shed(ServerKey),
+    /// A reset of a backend server.
+    Reset,
+    /// A reset of an instance.
+    Refused,
+}
+
+/// What a client waits for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Timer {
+    Copy(u32),
+    GiveUp,
+    /// The request was not answered after so many sendings.
+    Resend(u32),
+    /// The time limit of the request.
+    Limit,
+}
+
+impl World {
+    pub(super) fn arrive(&mut self, class: usize, zone: usize) {
+        if self.is_over() {
+            return;
+        }
+        let kind = &self.site.classes[class];
+        let mean = Duration::from_secs_f64(self.site.zones as f64 / kind.rate);
+        let next = self.dice.exponential(mean);
+        self.send(next, Event::Arrive(class, zone));
+        let request = RequestKey(self.requests.len());
+        self.requests.push(Request {
+            class,
+            zone,
+            started: self.now,
+            retries: 0,
+            done: false,
+        });
+        self.measure.owe(self.now, class, zone);
+        self.attempt(request);
+    }
+
+    /// Starts an attempt of a request.
+    pub(super) fn attempt(&mut self, key: RequestKey) {
+        let request = &self.requests[key.0];
+        let limit = request.started + self.site.classes[request.class].limit;
+        if request.done || self.now >= limit {
+            return;
+        }
+        let (zone, address) = (request.zone, self.operator.address(request.class));
+        let flow = self.open_flow(zone, address, Some(key));
+        self.send(limit.since(self.now), Event::Timer(flow, Timer::Limit));
+        self.send_up(flow, Uplink::Open { copy: 0 });
+    }
+
+    /// Starts a flow without sending anything yet.
+    pub(super) fn open_flow(
+        &mut self,
+        zone: usize,
+        service: SocketAddrV4,
+        request: Option<RequestKey>,
+    ) -> FlowKey {
+        let key = FlowKey(self.flows.len());
+        // Each flow has a port of its own, and each client address 60,000 ports.
+        let (host, port) = (key.0 / 60_000, key.0 % 60_000);
+        let client = Ipv4Addr::new(100, 64 + zone as u8, (host / 250) as u8, (host % 250) as u8);
+        let tuple = FlowTuple {
+            client: SocketAddrV4::new(client, 1_024 + port as u16),
+            service,
+        };
+        self.flows.push(Flow {
+            tuple,
+            zone,
+            request,
+            sequence: self.noise.bits() as u32,
+            started: self.now,
+            stage: Stage::Opening,
+            tag: Tag::default(),
+            round: 0,
+            hint: Loss::Packet,
+            opened: None,
+            strays: None,
+        });
+        self.measure.tuples.insert(tuple, key);
+        for (n, copy) in COPIES.iter().enumerate() {
+            self.send(*copy, Event::Timer(key, Timer::Copy(n as u32 + 1)));
+        }
+        self.send(GIVE_UP, Event::Timer(key, Timer::GiveUp));
+        key
+    }
+
+    /// Sends a packet by way of the routers.
+    pub(super) fn send_up(&mut self, flow: FlowKey, uplink: Uplink) {
+        let Some(machine) = self.route(flow) else {
+            self.flows[flow.0].hint = Loss::Instance;
+            return;
+        };
+        let zone = self.flows[flow.0].zone;
+        match self.client_delay_from(self.machines[machine.0].zone, zone) {
+            Ok(delay) => self.send(delay, Event::Uplink(machine, flow, uplink)),
+            Err(Gap::Lost | Gap::Cut) => self.flows[flow.0].hint = Loss::Packet,
+        }
+    }
+
+    pub(super) fn client_timer(&mut self, key: FlowKey, timer: Timer) {
+        let flow = &self.flows[key.0];
+        match (timer, flow.stage) {
+            (Timer::Copy(copy), Stage::Opening) => self.send_up(key, Uplink::Open { copy }),
+            (Timer::GiveUp, Stage::Opening) => self.end_attempt(key, true),
+            (Timer::Resend(tries), Stage::Open(server)) if flow.round == 0 => {
+                self.send_up(key, Uplink::Request(server));
+                let wait = (RESENDS.0 * 2u32.pow(tries.min(8))).min(RESENDS.1);
+                self.send(wait, Event::Timer(key, Timer::Resend(tries + 1)));
+            }
+            (Timer::Limit, Stage::Opening | Stage::Open(_)) => {
+                if matches!(flow.stage, Stage::Open(_)) && flow.round > 0 {
+                    self.flows[key.0].hint = Loss::Late;
+                }
+                self.flows[key.0].stage = Stage::Done;
+                self.give_up(key);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn client_packet(&mut self, key: FlowKey, downlink: Downlink) {
+        let flow = &mut self.flows[key.0];
+        match (downlink, flow.stage) {
+            (Downlink::Accepted(server, tag), Stage::Opening) => {
+                flow.stage = Stage::Open(server);
+                flow.tag = tag;
+                flow.hint = Loss::Packet;
+                self.send_up(key, Uplink::Request(server));
+                self.send(RESENDS.0, Event::Timer(key, Timer::Resend(1)));
+            }
+            (Downlink::Part(server, tag, round, last), Stage::Open(at)) if server == at => {
+                flow.tag = tag;
+                if round == flow.round {
+                    flow.round += 1;
+                }
+                if round < flow.round {
+                    self.send_up(key, Uplink::Part(round));
+                }
+                if last && round + 1 == self.flows[key.0].round {
+                    self.succeed(key);
+                }
+            }
+            (Downlink::Shed(server), Stage::Open(at)) if server == at => {
+                flow.hint = Loss::Full;
+                self.end_attempt(key, true);
+            }
+            (Downlink::Reset, Stage::Opening | Stage::Open(_)) => {
+                flow.hint = Loss::Reset;
+                let unopened = flow.opened.is_none();
+                self.end_attempt(key, unopened);
+            }
+            (Downlink::Refused, Stage::Opening | Stage::Open(_)) => {
+                let unopened = flow.stage == Stage::Opening;
+                self.end_attempt(key, unopened);
+            }
+            _ => {}
+        }
+    }
+
+    fn succeed(&mut self, key: FlowKey) {
+        self.flows[key.0].stage = Stage::Done;
+        self.send_up(key, Uplink::Finish);
+        let Some(request) = self.flows[key.0].request else {
+            return;
+        };
+        let (now, request) = (self.now, &mut self.requests[request.0]);
+        if !std::mem::replace(&mut request.done, true) {
+            let (class, zone, started) = (request.class, request.zone, request.started);
+            self.measure.earn(now, started, class, zone);
+        }
+    }
+
+    /// Ends an attempt that failed. One that did not run, or may run twice, is made again.
+    fn end_attempt(&mut self, key: FlowKey, unrun: bool) {
+        self.flows[key.0].stage = Stage::Done;
+        let Some(request) = self.flows[key.0].request else {
+            return;
+        };
+        let state = &mut self.requests[request.0];
+        let class = &self.site.classes[state.class];
+        let repeatable = unrun || class.idempotent;
+        let over = self.now + PAUSE >= state.started + class.limit;
+        if state.done || over || !repeatable || state.retries >= RETRIES {
+            self.give_up(key);
+            return;
+        }
+        state.retries += 1;
+        self.send(PAUSE, Event::Retry(request));
+    }
+
+    /// A request fails for good.
+    fn give_up(&mut self, key: FlowKey) {
+        let flow = &self.flows[key.0];
+        let (Some(request), hint) = (flow.request, flow.hint) else {
+            return;
+        };
+        let request = &mut self.requests[request.0];
+        if !std::mem::replace(&mut request.done, true) {
+            self.measure.lose(hint);
+        }
+    }
+}
--- /dev/null
+++ b/scenarios/src/dsr/machines.rs
@@ -0,0 +1,473 @@
+//! Entry instances: the real decisions, and what is done to their processes.
+
+use std::collections::{
+    HashMap,
+    HashSet, //
+};
+use std::net::{
+    Ipv4Addr,
+    SocketAddrV4, //
+};
+use std::sync::Arc;
+use std::time::Duration;
+
+use lovagespindle_decisions::Time;
+use lovagespindle_decisions::dsr::archive::Archive;
+use lovagespindle_decisions::dsr::balancer::{
+    Action,
+    Balancer,
+    Verdict, //
+};
+use lovagespindle_decisions::dsr::news::{
+    Change,
+    News,
+    ServerEntry, //
+};
+use lovagespindle_decisions::dsr::peers::Peers;
+use lovagespindle_decisions::dsr::routes::RouteTable;
+use lovagespindle_decisions::dsr::segment::{
+    FlowTuple,
+    Segment,
+    SegmentKind,
+    Tag,
+    Target, //
+};
+
+use super::clients::{
+    Downlink,
+    FlowKey,
+    Uplink, //
+};
+use super::measure::Loss;
+use super::network::Gap;
+use super::news::Follow;
+use super::servers::Datagram;
+use super::world::{
+    Event,
+    Policy,
+    World, //
+};
+
+/// How long a process takes to start.
+const START: Duration = Duration::from_millis(60);
+
+/// How long a probe waits for its answer, as the daemon's.
+const PROBE: Duration = Duration::from_millis(300);
+
+/// The port on which instances ask each other.
+const PORT: u16 = 7_100;
+
+/// Names an instance.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(super) struct MachineKey(pub(super) usize);
+
+/// Whether a process runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum State {
+    Up,
+    Frozen,
+    Down,
+}
+
+/// What decides in a process.
+pub(super) enum Mind {
+    Decisions(Box<Balancer>),
+    InTurn(InTurn),
+    Omniscient,
+}
+
+/// Sends flows to backend servers in turn.
+#[derive(Default)]
+pub(super) struct InTurn {
+    table: Option<RouteTable>,
+    entries: HashMap<Arc<str>, (ServerEntry, Time)>,
+    out: HashSet<Arc<str>>,
+    next: usize,
+}
+
+/// One instance.
+pub(super) struct Machine {
+    pub(super) zone: usize,
+    pub(super) address: SocketAddrV4,
+    pub(super) state: State,
+    /// Left for good.
+    pub(super) removed: bool,
+    /// Told to stop; no longer ready.
+    pub(super) leaving: bool,
+    /// Rises with each start.
+    pub(super) epoch: u32,
+    /// When something was last done to it.
+    pub(super) disturbed: Time,
+    pub(super) mind: Mind,
+    pub(super) archive: Archive,
+    pub(super) peers: Peers,
+    pub(super) follow: Follow,
+    /// Events that wait until it wakes.
+    pub(super) inbox: Vec<Event>,
+    pub(super) tick: Option<Time>,
+    pub(super) misses: u32,
+    pub(super) rotated: bool,
+}
+
+impl Machine {
+    pub(super) fn is_ready(&self) -> bool {
+        !self.leaving
+            && match &self.mind {
+                Mind::Decisions(balancer) => balancer.is_ready(),
+                Mind::InTurn(mind) => mind.table.is_some(),
+                Mind::Omniscient => true,
+            }
+    }
+}
+
+impl InTurn {
+    fn learn(&mut self, now: Time, news: News) {
+        for dated in news.changes {
+            match dated.change {
+                Change::Routes(table) => self.table = Some(table),
+                Change::Server(id, entry) => {
+                    let warm = now + entry.cold_for;
+                    self.entries.insert(id, (entry, warm));
+                }
+                Change::ServerGone(id) | Change::ServerUnreadable(id, _) => {
+                    self.entries.remove(&id);
+                }
+                Change::ZoneOut(zone) => drop(self.out.insert(zone)),
+                Change::ZoneBack(zone) => drop(self.out.remove(&zone)),
+            }
+        }
+    }
+
+    fn packet(&mut self, now: Time, segment: &Segment) -> Verdict {
+        let target = |entry: &ServerEntry| Target {
+            address: entry.address,
+            identity: entry.identity,
+            tag: Tag::of(entry.identity),
+        };
+        if !matches!(segment.kind, SegmentKind::Open(_)) {
+            let mut all = self.entries.values().map(|(entry, _)| target(entry));
+            let found = all.find(|target| target.tag == segment.tag);
+            return found.map_or(Verdict::Drop, Verdict::Forward);
+        }
+        let Some(table) = &self.table else {
+            return Verdict::Drop;
+        };
+        let route = table.routes.get(&segment.flow.service);
+        let Some(service) = route.and_then(|route| route.service(&segment.flow)) else {
+            return Verdict::Reset;
+        };
+        let usable = |(entry, warm): &&(ServerEntry, Time)| {
+            entry.service == *service
+                && !entry.draining
+                && *warm <= now
+                && !self.out.contains(&entry.zone)
+        };
+        let mut usable: Vec<&ServerEntry> =
+            self.entries.values().filter(usable).map(|e| &e.0).collect();
+        usable.sort_by_key(|entry| entry.identity);
+        if usable.is_empty() {
+            return Verdict::Reset;
+        }
+        self.next += 1;
+        Verdict::Open(target(usable[self.next % usable.len()]))
+    }
+}
+
+impl World {
+    /// Adds an instance that starts at once.
+    pub(super) fn add_machine(&mut self, zone: usize) {
+        let key = MachineKey(self.machines.len());
+        let address = Ipv4Addr::new(10, zone as u8, (key.0 / 250) as u8, (key.0 % 250) as u8 + 1);
+        let address = SocketAddrV4::new(address, PORT);
+        let machine = Machine {
+            zone,
+            address,
+            state: State::Down,
+            removed: false,
+            leaving: false,
+            epoch: 0,
+            disturbed: self.now,
+            mind: Mind::Omniscient,
+            archive: Archive::default(),
+            peers: Peers::new(address, &zone_name(zone), &[], 0),
+            follow: Follow::default(),
+            inbox: Vec::new(),
+            tick: None,
+            misses: 0,
+            rotated: false,
+        };
+        self.machines.push(machine);
+        let spread = Duration::from_millis(300).mul_f64(self.noise.unit());
+        self.send(spread, Event::Start(key));
+    }
+
+    pub(super) fn start_machine(&mut self, key: MachineKey) {
+        if self.machines[key.0].removed || self.machines[key.0].state != State::Down {
+            return;
+        }
+        let seed = self.noise.bits();
+        let zone = zone_name(self.machines[key.0].zone);
+        let mind = match &self.policy {
+            Policy::Decisions(settings) => {
+                let settings = settings.as_ref().clone();
+                Mind::Decisions(Box::new(Balancer::new(&zone, settings, seed)))
+            }
+            Policy::InTurn => Mind::InTurn(InTurn::default()),
+            Policy::Omniscient => Mind::Omniscient,
+        };
+        let seeds: Vec<SocketAddrV4> = self.machines.iter().take(3).map(|m| m.address).collect();
+        let now = self.now;
+        let machine = &mut self.machines[key.0];
+        machine.state = State::Up;
+        machine.leaving = false;
+        machine.epoch += 1;
+        machine.disturbed = now;
+        machine.mind = mind;
+        machine.archive = Archive::default();
+        machine.peers = Peers::new(machine.address, &zone, &seeds, seed);
+        machine.follow = Follow::default();
+        machine.inbox.clear();
+        machine.tick = None;
+        let epoch = machine.epoch;
+        self.send(START, Event::Follow(key, epoch));
+        self.send(START, Event::Elect(key, epoch));
+        self.meet(key, &seeds);
+    }
+
+    /// Ends a process, and starts it again after a while.
+    pub(super) fn stop_machine(&mut self, key: MachineKey, again: Option<Duration>) {
+        let now = self.now;
+        let machine = &mut self.machines[key.0];
+        machine.state = State::Down;
+        machine.disturbed = now;
+        machine.epoch += 1;
+        machine.removed = again.is_none();
+        if let Some(again) = again {
+            self.send(again, Event::Start(key));
+        }
+    }
+
+    /// Lets a frozen instance go on; it finds what was sent to it meanwhile.
+    pub(super) fn wake_machine(&mut self, key: MachineKey) {
+        let now = self.now;
+        let machine = &mut self.machines[key.0];
+        if machine.state != State::Frozen {
+            return;
+        }
+        machine.state = State::Up;
+        machine.disturbed = now;
+        for event in std::mem::take(&mut machine.inbox) {
+            self.handle(event);
+        }
+        self.tick(key, self.machines[key.0].epoch);
+    }
+
+    /// Returns whether the process takes an event now; a frozen one finds it later.
+    pub(super) fn takes(&mut self, key: MachineKey, event: impl FnOnce() -> Event) -> bool {
+        let machine = &mut self.machines[key.0];
+        match machine.state {
+            State::Up => true,
+            State::Frozen => {
+                machine.inbox.push(event());
+                false
+            }
+            State::Down => false,
+        }
+    }
+
+    pub(super) fn machine_packet(&mut self, key: MachineKey, flow: FlowKey, uplink: Uplink) {
+        if !self.takes(key, || Event::Uplink(key, flow, uplink)) {
+            self.flows[flow.0].hint = Loss::Instance;
+            return;
+        }
+        let (now, segment) = (self.now, self.segment(flow, &uplink));
+        let verdict = match &mut self.machines[key.0].mind {
+            Mind::Decisions(balancer) => balancer.packet(now, &segment),
+            Mind::InTurn(mind) => mind.packet(now, &segment),
+            Mind::Omniscient => self.know_best(key, &segment),
+        };
+        match verdict {
+            Verdict::Forward(target) | Verdict::Open(target) => {
+                self.forward(key, flow, uplink, target);
+            }
+            Verdict::Reset => self.refuse(key, flow),
+            Verdict::Drop => self.flows[flow.0].hint = Loss::Dropped,
+        }
+        self.act(key);
+    }
+
+    fn forward(&mut self, key: MachineKey, flow: FlowKey, uplink: Uplink, target: Target) {
+        let zone = zone_at(target.address);
+        let datagram = Datagram {
+            flow,
+            uplink,
+            identity: target.identity,
+            // The client's own tag goes on with packets that open nothing.
+            tag: match uplink {
+                Uplink::Open { .. } => target.tag,
+                _ => self.flows[flow.0].tag,
+            },
+            by: key,
+        };
+        match self.server_delay(key, zone) {
+            Ok(delay) => self.send(delay, Event::Server(target.address, datagram)),
+            Err(Gap::Cut) => self.flows[flow.0].hint = Loss::Cut,
+            Err(Gap::Lost) => self.flows[flow.0].hint = Loss::Packet,
+        }
+    }
+
+    fn refuse(&mut self, key: MachineKey, flow: FlowKey) {
+        self.judge_reset(key, flow);
+        self.flows[flow.0].hint = Loss::Refused;
+        if let Ok(delay) = self.client_delay() {
+            self.send(delay, Event::Downlink(flow, Downlink::Refused));
+        }
+    }
+
+    /// Carries out what the decisions want done by themselves, and sets the next tick.
+    pub(super) fn act(&mut self, key: MachineKey) {
+        let Mind::Decisions(balancer) = &mut self.machines[key.0].mind else {
+            return;
+        };
+        balancer.take_log().for_each(drop);
+        let actions: Vec<Action> = balancer.take_actions().collect();
+        let due = balancer.deadline();
+        for action in actions {
+            match action {
+                Action::Open { flow, target, .. } => {
+                    if let Some(flow) = self.flow_of(&flow) {
+                        let uplink = Uplink::Open { copy: 0 };
+                        self.forward(key, flow, uplink, target);
+                    }
+                }
+                Action::Reset(flow) => {
+                    if let Some(flow) = self.flow_of(&flow) {
+                        self.refuse(key, flow);
+                    }
+                }
+                Action::Probe(addresses) => self.probe(key, &addresses),
+            }
+        }
+        let now = self.now;
+        let machine = &mut self.machines[key.0];
+        // At least a tenth of a millisecond apart, so that a deadline in the past cannot stop time.
+        let due = due.max(now + Duration::from_micros(100));
+        if machine.tick.is_none_or(|tick| due < tick || tick <= now) {
+            machine.tick = Some(due);
+            let epoch = machine.epoch;
+            self.send(due.since(now), Event::Tick(key, epoch));
+        }
+    }
+
+    pub(super) fn tick(&mut self, key: MachineKey, epoch: u32) {
+        let now = self.now;
+        let machine = &mut self.machines[key.0];
+        if machine.epoch != epoch || machine.state != State::Up {
+            return;
+        }
+        if let Mind::Decisions(balancer) = &mut machine.mind
+            && balancer.deadline() <= now
+        {
+            balancer.tick(now);
+        }
+        self.act(key);
+    }
+
+    fn probe(&mut self, key: MachineKey, addresses: &[SocketAddrV4]) {
+        let epoch = self.machines[key.0].epoch;
+        let (mut reached, mut last) = (0, Duration::ZERO);
+        for address in addresses {
+            self.measure.probes += 1;
+            let up = self
+                .holder(*address)
+                .is_some_and(|s| self.servers[s.0].is_up());
+            match self.server_delay(key, zone_at(*address)) {
+                Ok(delay) if up => {
+                    reached += 1;
+                    last = last.max(delay * 2);
+                }
+                _ => last = PROBE,
+            }
+        }
+        let outcome = Event::Probed(key, epoch, addresses.len(), reached);
+        self.send(last, outcome);
+    }
+
+    pub(super) fn probed(&mut self, key: MachineKey, epoch: u32, probed: usize, reached: usize) {
+        if !self.takes(key, || Event::Probed(key, epoch, probed, reached)) {
+            return;
+        }
+        let now = self.now;
+        let machine = &mut self.machines[key.0];
+        if machine.epoch == epoch
+            && let Mind::Decisions(balancer) = &mut machine.mind
+        {
+            balancer.probed(now, probed, reached);
+            self.act(key);
+        }
+    }
+
+    pub(super) fn tell_mind(&mut self, key: MachineKey, news: News) {
+        let now = self.now;
+        match &mut self.machines[key.0].mind {
+            Mind::Decisions(balancer) => balancer.learn(now, news),
+            Mind::InTurn(mind) => mind.learn(now, news),
+            Mind::Omniscient => {}
+        }
+        self.act(key);
+    }
+
+    /// Decides by what is true.
+    fn know_best(&mut self, key: MachineKey, segment: &Segment) -> Verdict {
+        let target = |server: &super::servers::Server| Target {
+            address: server.address,
+            identity: server.identity,
+            tag: Tag::of(server.identity),
+        };
+        if !matches!(segment.kind, SegmentKind::Open(_)) {
+            let mut servers = self.servers.iter();
+            let found = servers.find(|server| Tag::of(server.identity) == segment.tag);
+            return found.map_or(Verdict::Drop, |server| Verdict::Forward(target(server)));
+        }
+        let Some(service) = self.operator.service(segment.flow.service) else {
+            return Verdict::Reset;
+        };
+        let zone = self.machines[key.0].zone;
+        let reached = |server: &&super::servers::Server| {
+            server.service == service
+                && server.takes_flows(self.now)
+                && self.is_open(zone, server.zone)
+                && !self.operator.is_out(server.zone)
+                && !self.network.no_servers.contains(&key)
+        };
+        let load = |server: &&super::servers::Server| {
+            let away = u32::from(server.zone != zone);
+            (server.load() * 4 + away, server.identity)
+        };
+        let best = self.servers.iter().filter(reached).min_by_key(load);
+        best.map_or(Verdict::Drop, |server| Verdict::Open(target(server)))
+    }
+
+    fn segment(&self, flow: FlowKey, uplink: &Uplink) -> Segment {
+        let flow = &self.flows[flow.0];
+        Segment {
+            flow: flow.tuple,
+            kind: uplink.kind(flow.sequence),
+            tag: flow.tag,
+        }
+    }
+
+    fn flow_of(&self, tuple: &FlowTuple) -> Option<FlowKey> {
+        self.measure.tuples.get(tuple).copied()
+    }
+}
+
+/// Returns the name of a zone.
+pub(super) fn zone_name(zone: usize) -> String {
+    format!("zone-{zone}")
+}
+
+/// Returns the zone of a backend server's address.
+fn zone_at(address: SocketAddrV4) -> usize {
+    usize::from(address.ip().octets()[1]) - super::servers::FIRST_NETWORK
+}
--- /dev/null
+++ b/scenarios/src/dsr/news.rs
@@ -0,0 +1,512 @@
+//! The store, and how instances learn of it: as the daemon's tasks do, one instance of a zone
+//! follows the store, and the others follow that one.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use lovagespindle_decisions::Time;
+use lovagespindle_decisions::dsr::news::{
+    Bulletin,
+    Dated,
+    Document,
+    News,
+    Revision,
+    Scope, //
+};
+use lovagespindle_decisions::dsr::peers::Peer;
+use lovagespindle_platform::documents;
+use lovagespindle_platform_stand_in::documents::Written;
+
+use super::machines::{
+    Machine,
+    MachineKey,
+    Mind,
+    State, //
+};
+use super::world::{
+    Event,
+    World, //
+};
+
+/// How long a watch waits for changes, as the daemon's default.
+const WATCH: Duration = Duration::from_secs(1);
+/// How long an answer may take beyond that.
+const PATIENCE: Duration = Duration::from_millis(700);
+/// The pause between changes and the next watch.
+const GATHER: Duration = Duration::from_millis(100);
+/// The first pause after a failed call, and the longest.
+const PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(800));
+/// How long instances wait for news of each other.
+const PEER_WAIT: Duration = Duration::from_millis(500);
+/// How long an instance's answer may take beyond that.
+const PEER_PATIENCE: Duration = Duration::from_millis(400);
+/// News of an instance that are older than this are not enough.
+const MAX_AGE: Duration = Duration::from_millis(1_500);
+/// The time between two looks at which instance leads the zone.
+const ELECTION: Duration = Duration::from_millis(500);
+/// The time between two exchanges of names with another instance.
+const REFRESH: Duration = Duration::from_secs(5);
+/// How much slower the slow store is.
+const SLOWDOWN: u32 = 50;
+
+/// What is wrong with the store.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) enum StoreState {
+    #[default]
+    Up,
+    Down,
+    Silent,
+    Slow,
+}
+
+/// The platform's store.
+#[derive(Default)]
+pub(super) struct Store {
+    documents: BTreeMap<Arc<str>, Document>,
+    history: Vec<Document>,
+    floor: Revision,
+    pub(super) revision: Revision,
+    pub(super) state: StoreState,
+    /// When something was last wrong with it.
+    pub(super) disturbed: Option<Time>,
+    waiting: Vec<Ask>,
+}
+
+/// Whom a question goes to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Source {
+    Store,
+    Machine(MachineKey),
+}
+
+/// A question for news.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Ask {
+    from: MachineKey,
+    epoch: u32,
+    number: u64,
+    to: Source,
+    /// What is known; nothing asks for everything.
+    known: Option<Revision>,
+    /// Only names of instances are exchanged.
+    names: bool,
+}
+
+/// What an instance waits for.
+#[derive(Debug, Default)]
+pub(super) struct Follow {
+    /// The open question to the store, and the open one to an instance.
+    store: Option<u64>,
+    peer: Option<u64>,
+    next: u64,
+    /// Whether the last call of the store succeeded.
+    connected: bool,
+    /// Whether another instance follows the store for this one.
+    served: bool,
+    pause: Duration,
+    refreshed: Time,
+    /// Questions of others that wait for news.
+    waiting: Vec<Ask>,
+}
+
+/// An answer.
+pub(super) enum Answer {
+    News(Option<Bulletin>, Vec<Peer>),
+    /// The history is gone.
+    Compacted,
+    Refused,
+}
+
+impl Store {
+    /// Writes or removes a document.
+    pub(super) fn write(&mut self, written: Written) {
+        self.revision.0 += 1;
+        let document = Document {
+            key: written.key.into(),
+            revision: self.revision,
+            value: written.value.map(Bytes::from),
+        };
+        match document.value {
+            Some(_) => drop(
+                self.documents
+                    .insert(document.key.clone(), document.clone()),
+            ),
+            None => drop(self.documents.remove(&document.key)),
+        }
+        self.history.push(document);
+    }
+
+    pub(super) fn compact(&mut self) {
+        self.history.clear();
+        self.floor = self.revision;
+    }
+
+    fn answer(&self, known: Option<Revision>) -> Answer {
+        let (scope, documents) = match known {
+            Some(known) if known < self.floor => return Answer::Compacted,
+            Some(known) => {
+                let newer = self.history.iter().filter(|d| d.revision > known);
+                (Scope::After(known), newer.cloned().collect())
+            }
+            None => {
+                // As the daemon reads the history for zones that came back.
+                let removed = self.history.iter().filter(|d| d.value.is_none());
+                let held = self.documents.values();
+                (Scope::All, held.chain(removed).cloned().collect())
+            }
+        };
+        let bulletin = Bulletin {
+            documents,
+            at: self.revision,
+            scope,
+            age: Duration::ZERO,
+        };
+        Answer::News(Some(bulletin), Vec::new())
+    }
+}
+
+impl World {
+    /// Writes a document, and tells those who wait for changes.
+    pub(super) fn write(&mut self, written: Written) {
+        self.store.write(written);
+        for ask in std::mem::take(&mut self.store.waiting) {
+            self.answer_from_store(ask);
+        }
+    }
+
+    fn ask(&mut self, from: MachineKey, to: Source, known: Option<Revision>, names: bool) {
+        let machine = &mut self.machines[from.0];
+        machine.follow.next += 1;
+        let number = machine.follow.next;
+        let ask = Ask {
+            from,
+            epoch: machine.epoch,
+            number,
+            to,
+            known,
+            names,
+        };
+        let limit = match to {
+            Source::Store => {
+                machine.follow.store = Some(number);
+                self.measure.store_calls += 1;
+                WATCH + PATIENCE
+            }
+            Source::Machine(_) => {
+                if !names {
+                    machine.follow.peer = Some(number);
+                }
+                self.measure.peer_calls += 1;
+                PEER_WAIT + PEER_PATIENCE
+            }
+        };
+        if let Some(delay) = self.way(from, to) {
+            self.send(delay, Event::Ask(ask));
+        }
+        self.send(limit, Event::Overdue(ask));
+    }
+
+    /// Returns the delay of a question or its answer.
+    fn way(&mut self, from: MachineKey, to: Source) -> Option<Duration> {
+        match to {
+            Source::Store => (!self.network.no_store.contains(&from)).then(|| {
+                let slow = self.store.state == StoreState::Slow;
+                self.site.store / 2 * if slow { SLOWDOWN } else { 1 }
+            }),
+            Source::Machine(to) => {
+                let (from, to) = (self.machines[from.0].zone, self.machines[to.0].zone);
+                // Connections repeat what is lost.
+                let open = self.is_open(from, to);
+                let delay = if from == to {
+                    self.site.inside
+                } else {
+                    self.site.between
+                };
+                open.then_some(delay)
+            }
+        }
+    }
+
+    pub(super) fn asked(&mut self, ask: Ask) {
+        match ask.to {
+            Source::Store => match self.store.state {
+                StoreState::Down => self.reply(ask, Answer::Refused),
+                StoreState::Silent => {}
+                StoreState::Up | StoreState::Slow => {
+                    if ask.known == Some(self.store.revision) {
+                        self.store.waiting.push(ask);
+                        self.send(WATCH, Event::Due(ask));
+                    } else {
+                        self.answer_from_store(ask);
+                    }
+                }
+            },
+            Source::Machine(key) => {
+                if !self.takes(key, || Event::Ask(ask)) {
+                    return;
+                }
+                let me = self.machines[ask.from.0].peers.me();
+                let now = self.now;
+                let machine = &mut self.machines[key.0];
+                machine.peers.learn(now, &[me]);
+                if ask.names || machine.archive.known() > ask.known {
+                    self.answer_from_machine(key, ask);
+                } else {
+                    machine.follow.waiting.push(ask);
+                    self.send(PEER_WAIT, Event::Due(ask));
+                }
+            }
+        }
+    }
+
+    fn answer_from_store(&mut self, ask: Ask) {
+        match self.store.state {
+            StoreState::Silent => {}
+            StoreState::Down => self.reply(ask, Answer::Refused),
+            StoreState::Up | StoreState::Slow => {
+                let answer = self.store.answer(ask.known);
+                self.reply(ask, answer);
+            }
+        }
+    }
+
+    fn answer_from_machine(&mut self, key: MachineKey, ask: Ask) {
+        let now = self.now;
+        let machine = &self.machines[key.0];
+        let known = ask.known.unwrap_or_default();
+        let bulletin = (!ask.names).then(|| machine.archive.since(now, known));
+        let answer = Answer::News(bulletin.flatten(), machine.peers.told(now));
+        self.reply(ask, answer);
+    }
+
+    /// The wait of a question is over.
+    pub(super) fn due(&mut self, ask: Ask) {
+        let same = |other: &Ask| other.from == ask.from && other.number == ask.number;
+        match ask.to {
+            Source::Store => {
+                if let Some(at) = self.store.waiting.iter().position(same) {
+                    self.store.waiting.swap_remove(at);
+                    self.answer_from_store(ask);
+                }
+            }
+            Source::Machine(key) => {
+                let up = self.machines[key.0].state == State::Up;
+                let waiting = &mut self.machines[key.0].follow.waiting;
+                if let Some(at) = waiting.iter().position(same)
+                    && up
+                {
+                    waiting.swap_remove(at);
+                    self.answer_from_machine(key, ask);
+                }
+            }
+        }
+    }
+
+    fn reply(&mut self, ask: Ask, answer: Answer) {
+        if let Some(delay) = self.way(ask.from, ask.to) {
+            self.send(delay, Event::Answer(ask, Box::new(answer)));
+        }
+    }
+
+    pub(super) fn answered(&mut self, ask: Ask, answer: Answer) {
+        let key = ask.from;
+        match self.machines[key.0].state {
+            State::Up => {}
+            State::Frozen => {
+                let event = Event::Answer(ask, Box::new(answer));
+                self.machines[key.0].inbox.push(event);
+                return;
+            }
+            State::Down => return,
+        }
+        if self.machines[key.0].epoch != ask.epoch {
+            return;
+        }
+        match answer {
+            Answer::News(bulletin, peers) => {
+                let now = self.now;
+                self.machines[key.0].peers.learn(now, &peers);
+                let age = bulletin.as_ref().map(|bulletin| bulletin.age);
+                let before = self.machines[key.0].archive.known();
+                if let Some(bulletin) = bulletin {
+                    self.learn(key, bulletin);
+                }
+                let changed = self.machines[key.0].archive.known() != before;
+                self.go_on(ask, age, changed);
+            }
+            Answer::Compacted => {
+                self.machines[key.0].follow.store = None;
+                self.ask(key, Source::Store, None, false);
+            }
+            Answer::Refused => self.overdue(ask),
+        }
+    }
+
+    fn learn(&mut self, key: MachineKey, bulletin: Bulletin) {
+        let now = self.now;
+        self.machines[key.0].archive.learn(now, &bulletin);
+        self.tell_mind(key, decode(bulletin));
+        let machine = &mut self.machines[key.0];
+        let known = machine.archive.known();
+        let news = |ask: &mut Ask| known > ask.known;
+        let ready: Vec<Ask> = machine.follow.waiting.extract_if(.., news).collect();
+        for ask in ready {
+            self.answer_from_machine(key, ask);
+        }
+    }
+
+    /// Asks again, after an answer.
+    fn go_on(&mut self, ask: Ask, age: Option<Duration>, changed: bool) {
+        let key = ask.from;
+        let follow = &mut self.machines[key.0].follow;
+        match ask.to {
+            Source::Store if follow.store == Some(ask.number) => {
+                follow.store = None;
+                follow.connected = true;
+                follow.pause = PAUSES.0;
+                let pause = if changed { GATHER } else { Duration::ZERO };
+                self.send(pause, Event::Follow(key, ask.epoch));
+            }
+            Source::Machine(_) if follow.peer == Some(ask.number) => {
+                follow.peer = None;
+                follow.served = age.is_some_and(|age| age <= MAX_AGE);
+                if !follow.served && follow.store.is_none() {
+                    self.send(Duration::ZERO, Event::Follow(key, ask.epoch));
+                }
+                self.ask_peer(key);
+            }
+            Source::Store | Source::Machine(_) => {}
+        }
+    }
+
+    /// A question was not answered in time, or refused.
+    pub(super) fn overdue(&mut self, ask: Ask) {
+        let (key, now) = (ask.from, self.now);
+        let machine = &mut self.machines[key.0];
+        if machine.epoch != ask.epoch || machine.state != State::Up {
+            return;
+        }
+        match ask.to {
+            Source::Store if machine.follow.store == Some(ask.number) => {
+                machine.follow.store = None;
+                machine.follow.connected = false;
+                let pause = machine.follow.pause.max(PAUSES.0);
+                machine.follow.pause = (pause * 2).min(PAUSES.1);
+                self.send(pause, Event::Follow(key, ask.epoch));
+            }
+            Source::Machine(other) if ask.names || machine.follow.peer == Some(ask.number) => {
+                let address = self.machines[other.0].address;
+                let heard = self.machines[key.0].peers.told(now);
+                let answered = ask.names && heard.iter().any(|peer| peer.address == address);
+                if !answered {
+                    self.machines[key.0].peers.fail(now, address);
+                }
+                let follow = &mut self.machines[key.0].follow;
+                if follow.peer == Some(ask.number) {
+                    follow.peer = None;
+                    follow.served = false;
+                    self.send(Duration::ZERO, Event::Follow(key, ask.epoch));
+                    self.ask_peer(key);
+                }
+            }
+            Source::Store | Source::Machine(_) => {}
+        }
+    }
+
+    /// Asks the store, unless another instance does.
+    pub(super) fn follow_store(&mut self, key: MachineKey, epoch: u32) {
+        let machine = &self.machines[key.0];
+        let idle = machine.follow.store.is_none() && !machine.follow.served;
+        if !self.is_running(key, epoch) || !idle {
+            return;
+        }
+        let known = self.machines[key.0].archive.known();
+        self.ask(key, Source::Store, known, false);
+    }
+
+    /// Looks which instance leads the zone.
+    pub(super) fn elect(&mut self, key: MachineKey, epoch: u32) {
+        if self.machines[key.0].epoch != epoch || self.machines[key.0].state == State::Down {
+            return;
+        }
+        self.send(ELECTION, Event::Elect(key, epoch));
+        if self.machines[key.0].state == State::Up {
+            self.ask_peer(key);
+            self.refresh(key);
+        }
+    }
+
+    fn ask_peer(&mut self, key: MachineKey) {
+        let now = self.now;
+        let machine = &mut self.machines[key.0];
+        if machine.follow.peer.is_some() {
+            return;
+        }
+        let to = match machine.peers.leader(now) {
+            Some(leader) => Some(leader),
+            None if !machine.follow.connected => machine.peers.pick(now),
+            None => None,
+        };
+        if to.is_none() && std::mem::replace(&mut machine.follow.served, false) {
+            let epoch = machine.epoch;
+            self.send(Duration::ZERO, Event::Follow(key, epoch));
+        }
+        let machine = &self.machines[key.0];
+        let known = Some(machine.archive.known().unwrap_or_default());
+        if let Some(to) = to.and_then(|to| self.machine_at(to)) {
+            self.ask(key, Source::Machine(to), known, false);
+        }
+    }
+
+    fn refresh(&mut self, key: MachineKey) {
+        let now = self.now;
+        let machine = &mut self.machines[key.0];
+        if now.since(machine.follow.refreshed) < REFRESH {
+            return;
+        }
+        machine.follow.refreshed = now;
+        if let Some(address) = machine.peers.pick(now) {
+            self.meet(key, &[address]);
+        }
+    }
+
+    /// Exchanges names with other instances.
+    pub(super) fn meet(&mut self, key: MachineKey, others: &[std::net::SocketAddrV4]) {
+        for address in others {
+            if let Some(other) = self.machine_at(*address).filter(|other| *other != key) {
+                self.ask(key, Source::Machine(other), None, true);
+            }
+        }
+    }
+
+    fn machine_at(&self, address: std::net::SocketAddrV4) -> Option<MachineKey> {
+        let at = |machine: &Machine| machine.address == address;
+        self.machines.iter().position(at).map(MachineKey)
+    }
+
+    fn is_running(&self, key: MachineKey, epoch: u32) -> bool {
+        let machine = &self.machines[key.0];
+        let thinks = !matches!(machine.mind, Mind::Omniscient);
+        machine.epoch == epoch && machine.state == State::Up && thinks
+    }
+}
+
+/// Decodes the documents of a bulletin.
+fn decode(bulletin: Bulletin) -> News {
+    let changes = bulletin.documents.iter().filter_map(|document| {
+        // The stand-in writes no document that cannot be read.
+        let change = documents::decode(document).ok()??;
+        Some(Dated {
+            revision: document.revision,
+            change,
+        })
+    });
+    News {
+        changes: changes.collect(),
+        at: bulletin.at,
+        scope: bulletin.scope,
+        age: bulletin.age,
+    }
+}
--- a/scenarios/src/lib.rs
+++ b/scenarios/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod baseline;
 mod callers;
+pub mod dsr;
 mod fabric;
 mod measure;
 mod platform;
--- a/scenarios/src/prelude.rs
+++ b/scenarios/src/prelude.rs
@@ -29,7 +29,7 @@
         self.0.next_u64()
     }
 
-    fn unit(&mut self) -> f64 {
+    pub(crate) fn unit(&mut self) -> f64 {
         (self.bits() >> 11) as f64 / (1u64 << 53) as f64
     }
 
@@ -37,6 +37,11 @@
         self.unit() < probability
     }
 
+    /// Draws a number below `count`, which is not 0.
+    pub(crate) fn below(&mut self, count: usize) -> usize {
+        (self.bits() % count as u64) as usize
+    }
+
     /// Draws from an exponential distribution.
     pub(crate) fn exponential(&mut self, mean: Duration) -> Duration {
         mean.mul_f64(-(1.0 - self.unit()).ln())
--- /dev/null
+++ b/scenarios/tests/dsr_days.rs
@@ -0,0 +1,131 @@
+//! Days of the emulated platform: the rules hold on drawn days and on deployments of all sizes, and
+//! the emulator accounts for each request.
+
+use lovagespindle_decisions::dsr::settings::Settings;
+use lovagespindle_scenarios::dsr::{
+    Day,
+    Fault,
+    Policy,
+    Report,
+    Rule,
+    Site,
+    Trouble,
+    World,
+    compare,
+    plot, //
+};
+use strum::IntoEnumIterator;
+
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident => $check:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() { $check })*
+    };
+}
+
+cases! {
+    /// Guards against requests lost on a day without troubles.
+    quiet_days_are_served => {
+        for site in [Site::waipuna(), Site::tsb()] {
+            let report = play(&site, &Day::quiet(), 1);
+            assert!(report.served >= 0.985, "{}: {}", site.name, report.served);
+        }
+    };
+    /// Guards against rules that are broken under troubles at any moment.
+    drawn_days_break_no_rule => {
+        for seed in 1..=12 {
+            for site in [Site::waipuna(), Site::tsb()] {
+                play(&site, &Day::drawn(&site, seed), seed);
+            }
+        }
+    };
+    /// Guards against decisions that fit only the deployments that were measured.
+    drawn_deployments_break_no_rule => {
+        for seed in 1..=12 {
+            let site = Site::drawn(seed);
+            play(&site, &Day::drawn(&site, seed), seed);
+        }
+    };
+    /// Guards against a single fault, of any kind, that breaks a rule or ends the service.
+    each_fault_is_survived => {
+        for fault in Fault::iter() {
+            let report = play(&Site::waipuna(), &day(fault), 3);
+            assert!(report.served >= 0.9, "{fault}: {}", report.served);
+        }
+    };
+    /// Guards against requests that the emulator forgets.
+    requests_are_accounted_for => {
+        for seed in 1..=6 {
+            let report = play(&Site::tsb(), &Day::drawn(&Site::tsb(), seed), seed);
+            let lost: u64 = report.losses.values().sum();
+            assert_eq!(report.answered + lost, report.requests);
+        }
+    };
+    /// Guards against an emulator whose days cannot be played again.
+    days_repeat => {
+        let day = Day::drawn(&Site::tsb(), 5);
+        let [first, second] = [5, 5].map(|seed| play(&Site::tsb(), &day, seed));
+        assert_eq!(format!("{first:?}"), format!("{second:?}"));
+    };
+    /// Guards against an emulator that cannot tell policies apart, and against evidence about silent
+    /// backend servers that brings nothing.
+    evidence_helps_against_silent_servers => {
+        let decisions = Policy::Decisions(Box::default());
+        let policies = (&Policy::InTurn, &decisions);
+        let found = compare(&Site::waipuna(), &day(Fault::ServerGone), policies, 1..=5);
+        assert!(found.gain > found.margin, "{found:?}");
+    };
+    /// Guards against judges that see nothing: without a wait, the backend servers of a zone that
+    /// comes back cold are used at once by those who have not read that they are cold.
+    broken_rules_are_seen => {
+        let settings = Settings {
+            zone_return: std::time::Duration::ZERO,
+            ..Settings::default()
+        };
+        let policy = Policy::Decisions(Box::new(settings));
+        let world = World::play(&Site::tsb(), &day(Fault::Evacuate), policy, 1);
+        let cold = world.breaches().iter().filter(|breach| breach.rule == Rule::Cold);
+        assert!(cold.count() > 0, "{:?}", world.breaches());
+    };
+    /// Guards against a plot that no viewer opens.
+    plots_are_closed => {
+        let report = play(&Site::tsb(), &Day::quiet(), 1);
+        let svg = plot("a < b", &[("decisions".to_owned(), report)]);
+        assert!(svg.starts_with("<svg") && svg.ends_with("</svg>\n"));
+        assert!(svg.contains("a &lt; b") && svg.contains("polyline"));
+    };
+    /// Guards against day files that are not understood.
+    day_files_are_valid => {
+        let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("days");
+        let files = std::fs::read_dir(folder).expect("a folder");
+        let days = files.map(|file| Day::load(&file.expect("a file").path()).expect("a day"));
+        for day in days {
+            play(&Site::tsb(), &day, 1);
+        }
+    };
+}
+
+fn day(fault: Fault) -> Day {
+    Day {
+        name: fault.to_string(),
+        troubles: vec![Trouble {
+            at: 8.0,
+            fault,
+            lasts: 4.0,
+            share: 0.3,
+        }],
+        closing: false,
+    }
+}
+
+/// Plays a day that must break no rule.
+fn play(site: &Site, day: &Day, seed: u64) -> Report {
+    let world = World::play(site, day, Policy::Decisions(Box::default()), seed);
+    let breaches = world.breaches();
+    assert!(
+        breaches.is_empty(),
+        "{} {} {seed}: {breaches:?}",
+        site.name,
+        day.name
+    );
+    world.report()
+}
