--- a/scenarios/src/dsr/faults.rs
+++ b/scenarios/src/dsr/faults.rs
@@ -50,7 +50,7 @@
         let concerned = Concerned {
             machines: self.some_machines(trouble.share),
             servers: self.some_servers(trouble.share),
-            zone: self.noise.below(self.site.zones),
+            zone: self.fate.below(self.site.zones),
             out: false,
         };
         self.concerned.insert(index, concerned.clone());
@@ -58,7 +58,7 @@
         match trouble.fault {
             Fault::ServerCrash | Fault::ServerGone => {
                 for key in &concerned.servers {
-                    let dark = self.noise.chance(0.5) || trouble.fault == Fault::ServerGone;
+                    let dark = self.fate.chance(0.5) || trouble.fault == Fault::ServerGone;
                     let condition = if dark {
                         Condition::Dark
                     } else {
@@ -309,7 +309,7 @@
 
     fn shuffle<T>(&mut self, items: &mut [T]) {
         for n in (1..items.len()).rev() {
-            let other = self.noise.below(n + 1);
+            let other = self.fate.below(n + 1);
             items.swap(n, other);
         }
     }
--- a/scenarios/src/dsr/world.rs
+++ b/scenarios/src/dsr/world.rs
@@ -102,6 +102,8 @@
     sequence: u64,
     /// Draws the load, so that all policies meet the same requests.
     pub(super) dice: Dice,
+    /// Draws whom troubles concern, so that all policies meet the same troubles.
+    pub(super) fate: Dice,
     /// Draws everything else.
     pub(super) noise: Dice,
     pub(super) network: Network,
@@ -130,6 +132,7 @@
             queue: BTreeMap::new(),
             sequence: 0,
             dice: Dice::new(seed),
+            fate: Dice::new(seed.rotate_left(32)),
             noise: Dice::new(!seed),
             network: Network::default(),
             machines: Vec::new(),
