--- a/daemon/tests/dsr_fleet/mod.rs
+++ b/daemon/tests/dsr_fleet/mod.rs
@@ -2,13 +2,18 @@
 //! its own in 127.78.0.0/16.
 
 #![allow(clippy::unwrap_used)] // helpers of tests may panic
+#![allow(dead_code)] // each test file uses a part
 
 use std::fs::File;
 use std::net::{
     Ipv4Addr,
+    SocketAddr,
     SocketAddrV4, //
 };
-use std::path::PathBuf;
+use std::path::{
+    Path,
+    PathBuf, //
+};
 use std::process::{
     Child,
     Command, //
@@ -116,6 +121,11 @@
 
     /// Starts a daemon that knows others as seeds.
     pub(crate) async fn daemon(&mut self, seeds: &[usize]) -> usize {
+        self.daemon_at("a", seeds, self.store.address())
+    }
+
+    /// Starts a daemon of a zone that finds the store at an address.
+    pub(crate) fn daemon_at(&mut self, zone: &str, seeds: &[usize], store: SocketAddrV4) -> usize {
         let index = self.daemons.len();
         let host = Ipv4Addr::new(127, 78, self.network, 100 + index as u8);
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
@@ -125,20 +135,15 @@
             .iter()
             .map(|seed| format!("\"{}:{PEERS}\"", self.daemons[*seed].host));
         let least = format!(
-            "[instance]\nname = \"entry-{index}\"\nzone = \"a\"\n\
+            "[instance]\nname = \"entry-{index}\"\nzone = \"{zone}\"\n\
              [listen]\nclients = \"{host}:{PACKETS}\"\nreadiness = \"{host}:{READINESS}\"\n\
              peers = \"{host}:{PEERS}\"\nmetrics = \"{host}:{METRICS}\"\n\
              [peers]\nseeds = [{}]\n[store]\naddress = \"{}\"\n",
             seeds.collect::<Vec<_>>().join(","),
-            self.store.address(),
+            store,
         );
         std::fs::write(&settings, &least).unwrap();
-        let process = Command::new(env!("CARGO_BIN_EXE_lovagespindled"))
-            .args(["--dsr", "--config"])
-            .arg(&settings)
-            .stdout(File::create(&log).unwrap())
-            .spawn()
-            .unwrap();
+        let process = launch(&settings, File::create(&log).unwrap());
         self.daemons.push(Daemon {
             process,
             host,
@@ -149,6 +154,14 @@
         index
     }
 
+    /// Starts a daemon again that has ended.
+    pub(crate) fn restart(&mut self, daemon: usize) {
+        let daemon = &mut self.daemons[daemon];
+        let log = File::options().append(true).open(&daemon.log).unwrap();
+        daemon.process.wait().unwrap();
+        daemon.process = launch(&daemon.settings, log);
+    }
+
     pub(crate) fn append_settings(&self, daemon: usize, more: &str) {
         let daemon = &self.daemons[daemon];
         std::fs::write(&daemon.settings, format!("{}{more}", daemon.least)).unwrap();
@@ -193,14 +206,23 @@
         false
     }
 
+    /// Returns where a daemon takes packets.
+    pub(crate) fn packets(&self, daemon: usize) -> SocketAddr {
+        (self.daemons[daemon].host, PACKETS).into()
+    }
+
+    /// Returns where a daemon answers readiness checks.
+    pub(crate) fn readiness(&self, daemon: usize) -> SocketAddr {
+        (self.daemons[daemon].host, READINESS).into()
+    }
+
+    /// Returns whether a daemon's process has ended.
+    pub(crate) fn has_ended(&mut self, daemon: usize) -> bool {
+        self.daemons[daemon].process.try_wait().unwrap().is_some()
+    }
+
     async fn get(&self, daemon: usize, port: u16, path: &str) -> std::io::Result<String> {
-        let host = self.daemons[daemon].host;
-        let mut stream = TcpStream::connect((host, port)).await?;
-        let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
-        stream.write_all(request.as_bytes()).await?;
-        let mut text = String::new();
-        stream.read_to_string(&mut text).await?;
-        Ok(text)
+        get((self.daemons[daemon].host, port).into(), path).await
     }
 
     /// Waits until a daemon says that it is ready, or that it is not.
@@ -262,7 +284,7 @@
         receive(&self.client).await
     }
 
-    fn log(&self, daemon: usize) -> String {
+    pub(crate) fn log(&self, daemon: usize) -> String {
         std::fs::read_to_string(&self.daemons[daemon].log).unwrap()
     }
 
@@ -289,6 +311,30 @@
     }
 }
 
+async fn get(address: SocketAddr, path: &str) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(address).await?;
+    let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).await?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await?;
+    Ok(text)
+}
+
+/// Returns whether a daemon says that it is ready.
+pub(crate) async fn is_ready(address: SocketAddr) -> bool {
+    let answer = get(address, lovagespindle_platform::READINESS_PATH).await;
+    answer.is_ok_and(|answer| answer.starts_with("HTTP/1.1 200"))
+}
+
+fn launch(settings: &Path, log: File) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_lovagespindled"))
+        .args(["--dsr", "--config"])
+        .arg(settings)
+        .stdout(log)
+        .spawn()
+        .unwrap()
+}
+
 async fn receive(socket: &UdpSocket) -> Vec<u8> {
     let mut bytes = vec![0; 2_048];
     let received = timeout(PATIENCE, socket.recv(&mut bytes)).await;
