Ask another instance when the one that is followed knows nothing

Cause: while the store is out of reach, an instance follows any other, first one of its own zone, until that fails. Two fresh instances of a zone followed each other and learnt nothing until the store was back; two that were refused by the store could likewise pass old news back and forth. Ruled out: the seeds (they answered), the grace before another instance is followed (150 ms). Change: an instance without news, or whose news are older than 1.5 s, is left out of the next picks for 2 s. Before: fresh_daemons_do_not_wait_for_each_other fails after 10 s. After: it passes; stale_instance_is_left_out_of_picks pins the choice.

--- a/daemon/src/dsr/peer_follower.rs
+++ b/daemon/src/dsr/peer_follower.rs
@@ -53,6 +53,10 @@
 /// The pause after an instance did not answer.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// The pause after an instance turned out to have no recent word of the store. While nobody reaches
+/// the store, instances ask each other in turn.
+const STALE_PAUSE: Duration = Duration::from_millis(500);
+
 /// Why an instance is not followed any more.
 #[derive(Debug, thiserror::Error)]
 enum FollowError {
@@ -174,19 +178,35 @@
                 sleep(PAUSE).await;
                 continue;
             };
-            if let Err(error) = self.follow(address).await {
-                self.fail(address, &error.into()).await;
-                sleep(PAUSE).await;
+            match self.follow(address).await {
+                Ok(()) => {}
+                Err(error @ FollowError::News(_)) => {
+                    self.fail(address, &error).await;
+                    sleep(PAUSE).await;
+                }
+                Err(error @ (FollowError::Empty | FollowError::Old(_))) => {
+                    let empty = matches!(error, FollowError::Empty);
+                    log::info!(
+                        "event=peer_stale peer={address} reason={:?}",
+                        error.to_string()
+                    );
+                    self.tell(Order::Stale(address)).await;
+                    sleep(if empty { PAUSE } else { STALE_PAUSE }).await;
+                }
             }
         }
     }
 
-    /// Follows an instance until it fails or the store is reached.
-    async fn follow(&mut self, address: SocketAddrV4) -> Result<(), NewsError> {
+    /// Follows an instance until it fails, its word of the store is old, or the store is reached.
+    async fn follow(&mut self, address: SocketAddrV4) -> Result<(), FollowError> {
         let mut client = NewsClient::connect(address, PATIENCE).await?;
         log::info!("event=peer_followed peer={address}");
         while !*self.store.borrow() {
-            self.ask_news(&mut client).await?;
+            let age = self.ask_news(&mut client).await?;
+            let age = age.ok_or(FollowError::Empty)?;
+            if age > MAX_AGE {
+                return Err(FollowError::Old(age));
+            }
         }
         Ok(())
     }
--- a/daemon/src/dsr/publisher.rs
+++ b/daemon/src/dsr/publisher.rs
@@ -48,6 +48,8 @@
     Seeds(Vec<SocketAddrV4>),
     /// Another instance did not answer.
     Failed(SocketAddrV4),
+    /// Another instance has no recent word of the store.
+    Stale(SocketAddrV4),
     /// Asks for the instance of the zone that follows the store, if that is another one.
     Lead(oneshot::Sender<Option<SocketAddrV4>>),
     /// Asks for an instance to follow while the store is out of reach.
@@ -119,6 +121,7 @@
             Order::Meet(peers) => self.peers.learn(now, &peers),
             Order::Seeds(seeds) => self.peers.set_seeds(&seeds),
             Order::Failed(address) => self.peers.fail(now, address),
+            Order::Stale(address) => self.peers.note_stale(now, address),
             // The asker may have given up.
             Order::Lead(reply) => drop(reply.send(self.peers.leader(now))),
             Order::Pick(reply) => drop(reply.send(self.peers.pick(now))),
--- a/daemon/tests/dsr.rs
+++ b/daemon/tests/dsr.rs
@@ -160,6 +160,24 @@
         fleet.until_line_of(second, "event=zone zone=a out=false").await;
     }
 
+    /// Guards against fresh instances of a zone that ask only each other while the store is away.
+    fresh_daemons_do_not_wait_for_each_other(15, fleet) => {
+        let store = fleet.store.address();
+        let other = fleet.daemon_at("b", &[], store);
+        let first = fleet.daemon_at("a", &[other], store);
+        let second = fleet.daemon_at("a", &[other, first], store);
+        for daemon in [other, first, second] {
+            fleet.until_ready(daemon, true).await;
+        }
+        fleet.store.set_fault(Fault::Down);
+        fleet.kill(first);
+        fleet.kill(second);
+        fleet.restart(first);
+        fleet.restart(second);
+        fleet.until_ready(first, true).await;
+        fleet.until_ready(second, true).await;
+    }
+
     /// Guards against datagrams that are dropped without a word in the log.
     dropped_datagrams_are_logged(13, fleet) => {
         let daemon = fleet.daemon(&[]).await;
--- a/decisions/src/dsr/peers.rs
+++ b/decisions/src/dsr/peers.rs
@@ -21,6 +21,10 @@
 /// How long an instance that did not answer is left out.
 const PENALTY: Duration = Duration::from_secs(5);
 
+/// How long an instance that has no recent word of the store is left out when one is picked. Its
+/// state may change with its next call of the store.
+const STALE: Duration = Duration::from_secs(2);
+
 /// The most instances that are told to another one.
 pub const MAX_TOLD: usize = 32;
 
@@ -41,6 +45,19 @@
     zone: Option<Arc<str>>,
     heard: Option<Time>,
     failed: Option<Time>,
+    /// When it was last found to have no recent word of the store.
+    stale: Option<Time>,
+}
+
+impl Record {
+    fn new() -> Record {
+        Record {
+            zone: None,
+            heard: None,
+            failed: None,
+            stale: None,
+        }
+    }
 }
 
 /// The other instances.
@@ -89,28 +106,28 @@
     pub fn learn(&mut self, now: Time, peers: &[Peer]) {
         for peer in peers.iter().filter(|peer| peer.address != self.own) {
             let heard = Some(now - peer.age);
-            let record = self.records.entry(peer.address).or_insert(Record {
-                zone: None,
-                heard: None,
-                failed: None,
-            });
+            let record = self.records.entry(peer.address);
+            let record = record.or_insert_with(Record::new);
             record.zone = Some(peer.zone.clone());
             record.heard = record.heard.max(heard);
         }
         self.records.retain(|_, record| {
-            let heard = record.heard.or(record.failed);
+            let heard = record.heard.or(record.failed).or(record.stale);
             heard.is_some_and(|heard| now.since(heard) < MEMORY)
         });
     }
 
     /// Notes that an instance did not answer.
     pub fn fail(&mut self, now: Time, address: SocketAddrV4) {
-        let record = self.records.entry(address).or_insert(Record {
-            zone: None,
-            heard: None,
-            failed: None,
-        });
-        record.failed = Some(now);
+        let record = self.records.entry(address);
+        record.or_insert_with(Record::new).failed = Some(now);
+    }
+
+    /// Notes that an instance has no recent word of the store, so that another one is asked next:
+    /// two that only ask each other learn nothing.
+    pub fn note_stale(&mut self, now: Time, address: SocketAddrV4) {
+        let record = self.records.entry(address);
+        record.or_insert_with(Record::new).stale = Some(now);
     }
 
     /// Returns the instances heard of lately, the latest first.
@@ -146,14 +163,17 @@
     }
 
     /// Returns an instance to ask for news: one of the own zone if there is one, and none that did
-    /// not answer a moment ago.
+    /// not answer or had no recent word of the store a moment ago.
     pub fn pick(&mut self, now: Time) -> Option<SocketAddrV4> {
         let mut best: Option<(bool, u32, SocketAddrV4)> = None;
         let known = self.records.keys().chain(&self.seeds).copied();
         for address in known.collect::<Vec<_>>() {
             let record = self.records.get(&address);
             let failed = record.and_then(|record| record.failed);
-            if failed.is_some_and(|failed| now.since(failed) < PENALTY) {
+            let stale = record.and_then(|record| record.stale);
+            if failed.is_some_and(|failed| now.since(failed) < PENALTY)
+                || stale.is_some_and(|stale| now.since(stale) < STALE)
+            {
                 continue;
             }
             let zone = record.and_then(|record| record.zone.as_ref());
--- a/decisions/tests/dsr_peers.rs
+++ b/decisions/tests/dsr_peers.rs
@@ -50,6 +50,17 @@
 }
 
 cases! {
+    /// Guards against two instances of a zone that ask only each other, and so learn nothing.
+    stale_instance_is_left_out_of_picks => {
+        let mut peers = Peers::new(address(1), "a", &[], 1);
+        peers.learn(NOW, &[peer(2, "a"), peer(3, "b")]);
+        assert_eq!(peers.pick(NOW), Some(address(2)));
+        peers.note_stale(NOW, address(2));
+        assert_eq!(peers.pick(NOW), Some(address(3)));
+        assert_eq!(peers.leader(NOW).is_some(), zone(2)[0].leader(NOW).is_some());
+        assert_eq!(peers.pick(NOW + Duration::from_secs(3)), Some(address(2)));
+    }
+
     /// Guards against several instances of a zone that all call the store.
     instances_agree_on_a_leader => {
         let leaders = leaders(&zone(8), NOW);
--- a/scenarios/src/dsr/news.rs
+++ b/scenarios/src/dsr/news.rs
@@ -371,10 +371,15 @@
             }
             Source::Machine(_) if follow.peer == Some(ask.number) => {
                 follow.peer = None;
-                follow.served = age.is_some_and(|age| age <= MAX_AGE);
-                if !follow.served && follow.store.is_none() {
+                let recent = age.is_some_and(|age| age <= MAX_AGE);
+                follow.served = recent;
+                if !recent && follow.store.is_none() {
                     self.send(Duration::ZERO, Event::Follow(key, ask.epoch));
                 }
+                if !recent && let Source::Machine(other) = ask.to {
+                    let (now, address) = (self.now, self.machines[other.0].address);
+                    self.machines[key.0].peers.note_stale(now, address);
+                }
                 self.ask_peer(key);
             }
             Source::Store | Source::Machine(_) => {}
--- a/scenarios/src/dsr/routers.rs
+++ b/scenarios/src/dsr/routers.rs
@@ -46,7 +46,7 @@
             let usable: Vec<MachineKey> = match self.policy {
                 Policy::Omniscient => present
                     .into_iter()
-                    .filter(|key| self.machines[key.0].state == State::Up)
+                    .filter(|key| self.machines[key.0].state == State::Up && self.serves(zone))
                     .collect(),
                 Policy::Decisions(_) | Policy::InTurn => self.in_rotation(&present),
             };
@@ -57,6 +57,11 @@
         None
     }
 
+    /// Returns whether instances of a zone reach any backend server that may be used.
+    fn serves(&self, zone: usize) -> bool {
+        !self.operator.is_out(zone) || !self.network.cut.contains(&zone)
+    }
+
     fn members(&self, zone: usize) -> Vec<MachineKey> {
         let all = self.machines.iter().enumerate();
         let near = all.filter(|(_, machine)| machine.zone == zone && !machine.removed);
