Ask an instance that did not answer again after two seconds

An instance that was restarted in a zone that is cut off knew nobody in reach, as its seeds are in other zones, and learnt only from those who asked it; its neighbours left it alone for 5 s after it had not answered. Ruled out: its own questions (both seeds in other zones timed out). Conclusion: two seconds still spare an instance that is down for long, and the platform starts processes again within one.

--- a/daemon/tests/dsr.rs
+++ b/daemon/tests/dsr.rs
@@ -2,7 +2,10 @@
 
 mod dsr_fleet;
 
-use std::time::Duration;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 use dsr_fleet::{
     Fleet,
@@ -178,6 +181,24 @@
         fleet.until_ready(second, true).await;
     }
 
+    /// Guards against an instance without seeds in reach that its neighbours leave alone after its
+    /// restart.
+    restarted_daemon_is_found_by_its_neighbour(16, fleet) => {
+        let first = fleet.daemon(&[]).await;
+        let second = fleet.daemon(&[first]).await;
+        fleet.until_ready(first, true).await;
+        fleet.until_ready(second, true).await;
+        fleet.store.set_fault(Fault::Down);
+        fleet.until_line_of(second, "event=store_lost").await;
+        fleet.kill(first);
+        fleet.until_line_of(second, "event=peer_lost").await;
+        fleet.restart(first);
+        let restarted = Instant::now();
+        fleet.until_ready(first, true).await;
+        let after = restarted.elapsed();
+        assert!(after < Duration::from_secs(4), "ready after {after:?}");
+    }
+
     /// Guards against datagrams that are dropped without a word in the log.
     dropped_datagrams_are_logged(13, fleet) => {
         let daemon = fleet.daemon(&[]).await;
--- a/daemon/tests/dsr_settings.rs
+++ b/daemon/tests/dsr_settings.rs
@@ -27,6 +27,8 @@
     unknown_keys_are_refused => unknown_keys();
     /// Guards against a reference page that does not name a setting.
     reference_is_complete => reference();
+    /// Guards against a settings file that ends the process, whatever it holds.
+    broken_files_are_refused => broken_files();
     /// Guards against a template whose result no daemon takes.
     template_is_valid => template();
 }
@@ -48,6 +50,24 @@
     toml::to_string(&settings).expect("a file")
 }
 
+fn broken_files() {
+    fn property(replaced: Vec<(usize, u8)>, cut: usize) -> bool {
+        let mut bytes = LEAST.as_bytes().to_vec();
+        let length = bytes.len();
+        for (at, value) in replaced.into_iter().take(4) {
+            bytes[at % length] = value;
+        }
+        bytes.truncate(cut % (length + 1));
+        // Either it is fine or the reason names the file.
+        match parse(&String::from_utf8_lossy(&bytes)) {
+            Ok(_) => true,
+            Err(reason) => reason.contains("file.toml"),
+        }
+    }
+    let tries = quickcheck::QuickCheck::new().tests(2_000);
+    tries.quickcheck(property as fn(Vec<(usize, u8)>, usize) -> bool);
+}
+
 fn all_faults() {
     let text = LEAST.replace("\"z\"", "\"Z 1\"") + "watch_wait = \"1ms\"\ngather = \"1h\"\n";
     let error = parse(&text).expect_err("three faults");
--- a/daemon/tests/dsr_soak/mod.rs
+++ b/daemon/tests/dsr_soak/mod.rs
@@ -2,6 +2,8 @@
 //! servers see.
 
 mod ends;
+mod faults;
+mod judge;
 mod proxy;
 
 use std::net::{
@@ -14,11 +16,9 @@
     Instant, //
 };
 
-use lovagespindle_platform_stand_in::Fault;
 use lovagespindle_platform_stand_in::documents::{
     ServerState,
     config,
-    no_server,
     server, //
 };
 use rand_core::{
@@ -26,7 +26,6 @@
     SeedableRng, //
 };
 use rand_pcg::Pcg32;
-use rustix::process::Signal;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
@@ -35,13 +34,11 @@
     Clients,
     PACKETS,
     Server,
-    Sight,
     Stage, //
 };
-use self::proxy::{
-    Mode,
-    Proxy, //
-};
+use self::faults::Trouble;
+use self::judge::CHECKS;
+use self::proxy::Proxy;
 use crate::dsr_fleet::Fleet;
 
 const ZONES: [&str; 2] = ["a", "b"];
@@ -54,34 +51,9 @@
 /// The time between two flows, and the mean time between two faults.
 const FLOWS: Duration = Duration::from_millis(20);
 const FAULTS: Duration = Duration::from_millis(350);
-/// Rules with a time bound hold for daemons that were left alone for this long.
-const CONTACT: Duration = Duration::from_secs(4);
-/// When a change of the store must be in force.
-const APPLY: Duration = Duration::from_secs(3);
-/// How many packets of an open flow may reach other backend servers.
-const STRAYS: u32 = 3;
-/// Flows after the storm that must all be served.
-const CHECKS: usize = 40;
 /// The time between two readiness checks of a daemon.
 const CHECK: Duration = Duration::from_millis(100);
 
-/// A fault that is lifted later.
-#[derive(Clone, Copy, Debug)]
-enum Trouble {
-    Kill(usize),
-    Pause(usize),
-    Terminate(usize),
-    Hangup(usize),
-    Settings(usize),
-    StoreLink(usize, Mode),
-    Store(Fault),
-    Compact,
-    Drain(usize),
-    Silence(usize),
-    Restart(usize),
-    Routes,
-}
-
 struct Route {
     service: SocketAddrV4,
     removed: Option<Instant>,
@@ -260,142 +232,6 @@
         self.fleet.store.write(config(self.version, &routes));
     }
 
-    fn begin(&mut self, now: Instant) {
-        let trouble = self.draw();
-        self.note(format!("{trouble:?}"));
-        let lasts = Duration::from_secs_f64(0.3 + 2.0 * self.unit());
-        match trouble {
-            Trouble::Kill(n) if !self.down[n] => {
-                self.fleet.signal(n, Signal::CONT);
-                self.fleet.kill(n);
-                self.down[n] = true;
-            }
-            Trouble::Pause(n) if !self.down[n] => self.fleet.signal(n, Signal::STOP),
-            Trouble::Terminate(n) if !self.down[n] => {
-                self.fleet.signal(n, Signal::CONT);
-                self.fleet.signal(n, Signal::TERM);
-                self.down[n] = true;
-            }
-            Trouble::Hangup(n) if !self.down[n] => self.fleet.signal(n, Signal::HUP),
-            Trouble::Settings(n) => {
-                let preference = 1.0 + self.unit();
-                let text = format!("[decisions]\nzone_preference = {preference:.2}\n");
-                self.fleet.append_settings(n, &text);
-            }
-            Trouble::StoreLink(n, mode) => self.proxies[n].set(mode),
-            Trouble::Store(fault) => self.fleet.store.set_fault(fault),
-            Trouble::Compact => self.fleet.store.compact(),
-            Trouble::Drain(n) if self.servers[n].drained.is_none() => {
-                self.servers[n].drained = Some(now);
-                self.list(n);
-            }
-            Trouble::Silence(n) => {
-                self.servers[n].silent = true;
-                self.servers[n].touched = now;
-            }
-            Trouble::Restart(n) => self.restart_server(n),
-            Trouble::Routes => self.change_routes(now),
-            Trouble::Kill(_)
-            | Trouble::Pause(_)
-            | Trouble::Terminate(_)
-            | Trouble::Hangup(_)
-            | Trouble::Drain(_) => return,
-        }
-        self.touch(now, trouble);
-        self.due.push((now + lasts, trouble));
-    }
-
-    fn draw(&mut self) -> Trouble {
-        let (daemon, backend) = (self.below(DAEMONS), self.below(SERVERS));
-        let modes = [Mode::Delay, Mode::Reset, Mode::Answerless, Mode::Silent];
-        match self.below(14) {
-            0 | 1 => Trouble::Kill(daemon),
-            2 | 3 => Trouble::Pause(daemon),
-            4 => Trouble::Terminate(daemon),
-            5 => Trouble::Hangup(daemon),
-            6 => Trouble::Settings(daemon),
-            7 => Trouble::StoreLink(daemon, modes[self.below(modes.len())]),
-            8 => Trouble::Store([Fault::Down, Fault::Silent][self.below(2)]),
-            9 => Trouble::Compact,
-            10 => Trouble::Drain(backend),
-            11 => Trouble::Silence(backend),
-            12 => Trouble::Restart(backend),
-            _ => Trouble::Routes,
-        }
-    }
-
-    fn touch(&mut self, now: Instant, trouble: Trouble) {
-        match trouble {
-            Trouble::Kill(n)
-            | Trouble::Pause(n)
-            | Trouble::Terminate(n)
-            | Trouble::Hangup(n)
-            | Trouble::Settings(n)
-            | Trouble::StoreLink(n, _) => self.touched[n] = now,
-            Trouble::Store(_) | Trouble::Compact => self.store_touched = now,
-            Trouble::Drain(_) | Trouble::Silence(_) | Trouble::Restart(_) | Trouble::Routes => {}
-        }
-    }
-
-    fn restart_server(&mut self, n: usize) {
-        self.fleet
-            .store
-            .write(no_server(u64::from(self.servers[n].number)));
-        self.numbers += 1;
-        self.servers[n].restart(self.numbers);
-        self.list(n);
-    }
-
-    /// Adds a route, and removes the one that was added before.
-    fn change_routes(&mut self, now: Instant) {
-        if let Some(last) = self.routes.iter_mut().skip(1).last() {
-            last.removed.get_or_insert(now);
-        }
-        let host = Ipv4Addr::new(198, 18, 1, self.routes.len() as u8);
-        self.routes.push(Route {
-            service: SocketAddrV4::new(host, 443),
-            removed: None,
-        });
-        self.put_routes();
-    }
-
-    fn lift_all(&mut self, now: Instant) {
-        for (at, _) in &mut self.due {
-            *at = (*at).min(now);
-        }
-    }
-
-    fn lift(&mut self, now: Instant) {
-        let over: Vec<Trouble> = self
-            .due
-            .extract_if(.., |(at, _)| *at <= now)
-            .map(|(_, trouble)| trouble)
-            .collect();
-        for trouble in over {
-            match trouble {
-                Trouble::Kill(n) | Trouble::Terminate(n) => {
-                    self.fleet.restart(n);
-                    self.down[n] = false;
-                }
-                Trouble::Pause(n) if !self.down[n] => self.fleet.signal(n, Signal::CONT),
-                Trouble::StoreLink(n, _) => self.proxies[n].set(Mode::Pass),
-                Trouble::Store(_) => self.fleet.store.set_fault(Fault::None),
-                Trouble::Silence(n) => {
-                    self.servers[n].silent = false;
-                    self.servers[n].touched = now;
-                }
-                Trouble::Drain(n) => self.restart_server(n),
-                Trouble::Pause(_)
-                | Trouble::Hangup(_)
-                | Trouble::Settings(_)
-                | Trouble::Compact
-                | Trouble::Restart(_)
-                | Trouble::Routes => {}
-            }
-            self.touch(now, trouble);
-        }
-    }
-
     /// Lets both ends act once.
     fn exchange(&mut self, now: Instant) {
         let mut seen = Vec::new();
@@ -421,86 +257,6 @@
         let index = usize::from(port) % usable.len().max(1);
         usable.get(index).copied()
     }
-
-    /// Returns whether rules with a time bound hold for a daemon.
-    fn is_calm(&self, now: Instant, by: SocketAddr) -> bool {
-        let daemon = (0..DAEMONS).find(|n| self.fleet.packets(*n).ip() == by.ip());
-        let calm = |since: Instant| now.duration_since(since) >= CONTACT;
-        daemon.is_some_and(|n| !self.down[n] && calm(self.touched[n])) && calm(self.store_touched)
-    }
-
-    fn judge(&mut self, now: Instant, sight: Sight) {
-        match sight {
-            Sight::Opening { port, server, by } => {
-                let drained = self.servers.iter().find(|s| s.number == server);
-                let drained = drained.and_then(|server| server.drained);
-                let late = drained.is_some_and(|since| now.duration_since(since) > APPLY);
-                if late && self.is_calm(now, by) {
-                    self.fail(format!("flow {port} opened at draining {server} by {by}"));
-                }
-                let service = self.clients.flows.get(&port).map(|flow| flow.service);
-                let mut routes = self.routes.iter();
-                let route = routes.find(|route| Some(route.service) == service);
-                let removed = route.and_then(|route| route.removed);
-                let late = removed.is_some_and(|since| now.duration_since(since) > APPLY);
-                if late && self.is_calm(now, by) {
-                    self.fail(format!("flow {port} opened on a removed route by {by}"));
-                }
-            }
-            Sight::Data { port, server } => {
-                let Some(flow) = self.clients.flows.get_mut(&port) else {
-                    return;
-                };
-                if matches!(flow.stage, Stage::Open(own) if own != server) {
-                    flow.strays += 1;
-                    if flow.strays == STRAYS {
-                        self.fail(format!("packets of flow {port} went to {server}"));
-                    }
-                }
-            }
-            Sight::Reset { port, by } => {
-                let stage = self.clients.flows.get(&port).map(|flow| flow.stage);
-                let Some(Stage::Open(own)) = stage else {
-                    return;
-                };
-                let alive = self.servers.iter().any(|s| s.number == own && !s.silent);
-                if alive && self.is_calm(now, by) {
-                    self.fail(format!("open flow {port} at {own} was reset by {by}"));
-                }
-            }
-        }
-    }
-
-    /// After the storm, each flow must be served.
-    async fn check_service(&mut self) {
-        let now = Instant::now();
-        let service = self.routes[0].service;
-        let ports: Vec<u16> = (0..CHECKS)
-            .map(|_| self.clients.open(now, service))
-            .collect();
-        let end = now + Duration::from_secs(6);
-        while Instant::now() < end {
-            self.exchange(Instant::now());
-            sleep(Duration::from_millis(2)).await;
-        }
-        for port in ports {
-            let stage = self.clients.flows[&port].stage;
-            if stage != Stage::Finished {
-                self.fail(format!("flow {port} after the storm: {stage:?}"));
-            }
-        }
-    }
-
-    fn check_processes(&mut self) {
-        for daemon in 0..DAEMONS {
-            if self.fleet.has_ended(daemon) {
-                self.fail(format!("daemon {daemon} ended by itself"));
-            }
-            if self.fleet.log(daemon).contains("panicked") {
-                self.fail(format!("daemon {daemon} panicked"));
-            }
-        }
-    }
 }
 
 /// Checks a daemon's readiness as routers do.
--- a/decisions/src/dsr/peers.rs
+++ b/decisions/src/dsr/peers.rs
@@ -18,8 +18,9 @@
 /// seconds, so that two rounds may fail.
 const MEMORY: Duration = Duration::from_secs(15);
 
-/// How long an instance that did not answer is left out.
-const PENALTY: Duration = Duration::from_secs(5);
+/// How long an instance that did not answer is left out. The platform starts a process again within
+/// a second, and a fresh one in a zone that is cut off learns only from those who ask it.
+const PENALTY: Duration = Duration::from_secs(2);
 
 /// How long an instance that has no recent word of the store is left out when one is picked. Its
 /// state may change with its next call of the store.
--- a/decisions/tests/dsr_peers.rs
+++ b/decisions/tests/dsr_peers.rs
@@ -61,6 +61,16 @@
         assert_eq!(peers.pick(NOW + Duration::from_secs(3)), Some(address(2)));
     }
 
+    /// Guards against instances that stay away from one which has started again: in a zone that is
+    /// cut off it may know nobody, and learns only from those who ask it.
+    failed_instance_is_asked_again_soon => {
+        let mut peers = Peers::new(address(1), "a", &[], 1);
+        peers.learn(NOW, &[peer(2, "a")]);
+        peers.fail(NOW, address(2));
+        assert_eq!(peers.pick(NOW + Duration::from_secs(1)), None);
+        assert_eq!(peers.pick(NOW + Duration::from_millis(2_100)), Some(address(2)));
+    }
+
     /// Guards against several instances of a zone that all call the store.
     instances_agree_on_a_leader => {
         let leaders = leaders(&zone(8), NOW);
--- a/scenarios/src/dsr/clients.rs
+++ b/scenarios/src/dsr/clients.rs
@@ -194,7 +194,7 @@
             opened: None,
             strays: None,
         });
-        self.measure.tuples.insert(tuple, key);
+        self.tuples.insert(tuple, key);
         for (n, copy) in COPIES.iter().enumerate() {
             self.send(*copy, Event::Timer(key, Timer::Copy(n as u32 + 1)));
         }
--- a/scenarios/src/dsr/faults.rs
+++ b/scenarios/src/dsr/faults.rs
@@ -7,11 +7,11 @@
     MachineKey,
     State, //
 };
-use super::news::StoreState;
 use super::servers::{
     Condition,
     ServerKey, //
 };
+use super::store::StoreState;
 use super::world::{
     Event,
     World, //
--- a/scenarios/src/dsr/machines.rs
+++ b/scenarios/src/dsr/machines.rs
@@ -1,14 +1,9 @@
 //! Entry instances: the real decisions, and what is done to their processes.
 
-use std::collections::{
-    HashMap,
-    HashSet, //
-};
 use std::net::{
     Ipv4Addr,
     SocketAddrV4, //
 };
-use std::sync::Arc;
 use std::time::Duration;
 
 use lovagespindle_decisions::Time;
@@ -18,18 +13,11 @@
     Balancer,
     Verdict, //
 };
-use lovagespindle_decisions::dsr::news::{
-    Change,
-    News,
-    ServerEntry, //
-};
+use lovagespindle_decisions::dsr::news::News;
 use lovagespindle_decisions::dsr::peers::Peers;
-use lovagespindle_decisions::dsr::routes::RouteTable;
 use lovagespindle_decisions::dsr::segment::{
     FlowTuple,
     Segment,
-    SegmentKind,
-    Tag,
     Target, //
 };
 
@@ -39,6 +27,10 @@
     Uplink, //
 };
 use super::measure::Loss;
+use super::minds::{
+    InTurn,
+    Mind, //
+};
 use super::network::Gap;
 use super::news::Follow;
 use super::servers::Datagram;
@@ -69,22 +61,6 @@
     Down,
 }
 
-/// What decides in a process.
-pub(super) enum Mind {
-    Decisions(Box<Balancer>),
-    InTurn(InTurn),
-    Omniscient,
-}
-
-/// Sends flows to backend servers in turn.
-#[derive(Default)]
-pub(super) struct InTurn {
-    table: Option<RouteTable>,
-    entries: HashMap<Arc<str>, (ServerEntry, Time)>,
-    out: HashSet<Arc<str>>,
-    next: usize,
-}
-
 /// One instance.
 pub(super) struct Machine {
     pub(super) zone: usize,
@@ -120,59 +96,6 @@
     }
 }
 
-impl InTurn {
-    fn learn(&mut self, now: Time, news: News) {
-        for dated in news.changes {
-            match dated.change {
-                Change::Routes(table) => self.table = Some(table),
-                Change::Server(id, entry) => {
-                    let warm = now + entry.cold_for;
-                    self.entries.insert(id, (entry, warm));
-                }
-                Change::ServerGone(id) | Change::ServerUnreadable(id, _) => {
-                    self.entries.remove(&id);
-                }
-                Change::ZoneOut(zone) => drop(self.out.insert(zone)),
-                Change::ZoneBack(zone) => drop(self.out.remove(&zone)),
-            }
-        }
-    }
-
-    fn packet(&mut self, now: Time, segment: &Segment) -> Verdict {
-        let target = |entry: &ServerEntry| Target {
-            address: entry.address,
-            identity: entry.identity,
-            tag: Tag::of(entry.identity),
-        };
-        if !matches!(segment.kind, SegmentKind::Open(_)) {
-            let mut all = self.entries.values().map(|(entry, _)| target(entry));
-            let found = all.find(|target| target.tag == segment.tag);
-            return found.map_or(Verdict::Drop, Verdict::Forward);
-        }
-        let Some(table) = &self.table else {
-            return Verdict::Drop;
-        };
-        let route = table.routes.get(&segment.flow.service);
-        let Some(service) = route.and_then(|route| route.service(&segment.flow)) else {
-            return Verdict::Reset;
-        };
-        let usable = |(entry, warm): &&(ServerEntry, Time)| {
-            entry.service == *service
-                && !entry.draining
-                && *warm <= now
-                && !self.out.contains(&entry.zone)
-        };
-        let mut usable: Vec<&ServerEntry> =
-            self.entries.values().filter(usable).map(|e| &e.0).collect();
-        usable.sort_by_key(|entry| entry.identity);
-        if usable.is_empty() {
-            return Verdict::Reset;
-        }
-        self.next += 1;
-        Verdict::Open(target(usable[self.next % usable.len()]))
-    }
-}
-
 impl World {
     /// Adds an instance that starts at once.
     pub(super) fn add_machine(&mut self, zone: usize) {
@@ -417,37 +340,6 @@
         self.act(key);
     }
 
-    /// Decides by what is true.
-    fn know_best(&mut self, key: MachineKey, segment: &Segment) -> Verdict {
-        let target = |server: &super::servers::Server| Target {
-            address: server.address,
-            identity: server.identity,
-            tag: Tag::of(server.identity),
-        };
-        if !matches!(segment.kind, SegmentKind::Open(_)) {
-            let mut servers = self.servers.iter();
-            let found = servers.find(|server| Tag::of(server.identity) == segment.tag);
-            return found.map_or(Verdict::Drop, |server| Verdict::Forward(target(server)));
-        }
-        let Some(service) = self.operator.service(segment.flow.service) else {
-            return Verdict::Reset;
-        };
-        let zone = self.machines[key.0].zone;
-        let reached = |server: &&super::servers::Server| {
-            server.service == service
-                && server.takes_flows(self.now)
-                && self.is_open(zone, server.zone)
-                && !self.operator.is_out(server.zone)
-                && !self.network.no_servers.contains(&key)
-        };
-        let load = |server: &&super::servers::Server| {
-            let away = u32::from(server.zone != zone);
-            (server.load() * 4 + away, server.identity)
-        };
-        let best = self.servers.iter().filter(reached).min_by_key(load);
-        best.map_or(Verdict::Drop, |server| Verdict::Open(target(server)))
-    }
-
     fn segment(&self, flow: FlowKey, uplink: &Uplink) -> Segment {
         let flow = &self.flows[flow.0];
         Segment {
@@ -458,7 +350,7 @@
     }
 
     fn flow_of(&self, tuple: &FlowTuple) -> Option<FlowKey> {
-        self.measure.tuples.get(tuple).copied()
+        self.tuples.get(tuple).copied()
     }
 }
 
--- a/scenarios/src/dsr/measure.rs
+++ b/scenarios/src/dsr/measure.rs
@@ -1,14 +1,9 @@
 //! What was served, and what was lost to which cause.
 
-use std::collections::{
-    BTreeMap,
-    HashMap, //
-};
+use std::collections::BTreeMap;
 
 use lovagespindle_decisions::Time;
-use lovagespindle_decisions::dsr::segment::FlowTuple;
 
-use super::clients::FlowKey;
 use super::site::Site;
 use super::world::{
     LEAD,
@@ -16,7 +11,7 @@
 };
 
 /// How many seconds one window has.
-pub(super) const WINDOW: usize = 2;
+const WINDOW: usize = 2;
 
 /// What kept a request from its answer.
 #[derive(
@@ -62,8 +57,6 @@
 
 /// Sums over a day.
 pub(super) struct Measure {
-    /// The flow of each pair of ends.
-    pub(super) tuples: HashMap<FlowTuple, FlowKey>,
     all: Sum,
     classes: Vec<Sum>,
     zones: Vec<Sum>,
@@ -132,7 +125,6 @@
     pub(super) fn new(site: &Site) -> Measure {
         let seconds = site.length.as_secs() as usize + 1;
         Measure {
-            tuples: HashMap::new(),
             all: Sum::default(),
             classes: vec![Sum::default(); site.classes.len()],
             zones: vec![Sum::default(); site.zones],
--- a/scenarios/src/dsr/mod.rs
+++ b/scenarios/src/dsr/mod.rs
@@ -7,6 +7,7 @@
 mod faults;
 mod machines;
 mod measure;
+mod minds;
 mod network;
 mod news;
 mod operator;
@@ -15,6 +16,7 @@
 mod rules;
 mod servers;
 mod site;
+mod store;
 mod world;
 
 pub use compare::{
--- a/scenarios/src/dsr/news.rs
+++ b/scenarios/src/dsr/news.rs
@@ -1,19 +1,14 @@
-//! The store, and how instances learn of it: as the daemon's tasks do, one instance of a zone
-//! follows the store, and the others follow that one.
+//! How instances learn what the store holds: as the daemon's tasks do, one instance of a zone follows
+//! the store, and the others follow that one.
 
-use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use lovagespindle_decisions::Time;
 use lovagespindle_decisions::dsr::news::{
     Bulletin,
     Dated,
-    Document,
     News,
-    Revision,
-    Scope, //
+    Revision, //
 };
 use lovagespindle_decisions::dsr::peers::Peer;
 use lovagespindle_platform::documents;
@@ -22,9 +17,10 @@
 use super::machines::{
     Machine,
     MachineKey,
-    Mind,
     State, //
 };
+use super::minds::Mind;
+use super::store::StoreState;
 use super::world::{
     Event,
     World, //
@@ -51,29 +47,6 @@
 /// How much slower the slow store is.
 const SLOWDOWN: u32 = 50;
 
-/// What is wrong with the store.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub(super) enum StoreState {
-    #[default]
-    Up,
-    Down,
-    Silent,
-    Slow,
-}
-
-/// The platform's store.
-#[derive(Default)]
-pub(super) struct Store {
-    documents: BTreeMap<Arc<str>, Document>,
-    history: Vec<Document>,
-    floor: Revision,
-    pub(super) revision: Revision,
-    pub(super) state: StoreState,
-    /// When something was last wrong with it.
-    pub(super) disturbed: Option<Time>,
-    waiting: Vec<Ask>,
-}
-
 /// Whom a question goes to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Source {
@@ -119,54 +92,6 @@
     Refused,
 }
 
-impl Store {
-    /// Writes or removes a document.
-    pub(super) fn write(&mut self, written: Written) {
-        self.revision.0 += 1;
-        let document = Document {
-            key: written.key.into(),
-            revision: self.revision,
-            value: written.value.map(Bytes::from),
-        };
-        match document.value {
-            Some(_) => drop(
-                self.documents
-                    .insert(document.key.clone(), document.clone()),
-            ),
-            None => drop(self.documents.remove(&document.key)),
-        }
-        self.history.push(document);
-    }
-
-    pub(super) fn compact(&mut self) {
-        self.history.clear();
-        self.floor = self.revision;
-    }
-
-    fn answer(&self, known: Option<Revision>) -> Answer {
-        let (scope, documents) = match known {
-            Some(known) if known < self.floor => return Answer::Compacted,
-            Some(known) => {
-                let newer = self.history.iter().filter(|d| d.revision > known);
-                (Scope::After(known), newer.cloned().collect())
-            }
-            None => {
-                // As the daemon reads the history for zones that came back.
-                let removed = self.history.iter().filter(|d| d.value.is_none());
-                let held = self.documents.values();
-                (Scope::All, held.chain(removed).cloned().collect())
-            }
-        };
-        let bulletin = Bulletin {
-            documents,
-            at: self.revision,
-            scope,
-            age: Duration::ZERO,
-        };
-        Answer::News(Some(bulletin), Vec::new())
-    }
-}
-
 impl World {
     /// Writes a document, and tells those who wait for changes.
     pub(super) fn write(&mut self, written: Written) {
@@ -266,8 +191,9 @@
             StoreState::Silent => {}
             StoreState::Down => self.reply(ask, Answer::Refused),
             StoreState::Up | StoreState::Slow => {
-                let answer = self.store.answer(ask.known);
-                self.reply(ask, answer);
+                let found = self.store.since(ask.known);
+                let news = |bulletin| Answer::News(Some(bulletin), Vec::new());
+                self.reply(ask, found.map_or(Answer::Compacted, news));
             }
         }
     }
--- a/scenarios/src/dsr/operator.rs
+++ b/scenarios/src/dsr/operator.rs
@@ -19,8 +19,8 @@
     State,
     zone_name, //
 };
-use super::news::StoreState;
 use super::site::Site;
+use super::store::StoreState;
 use super::world::{
     Event,
     World, //
--- /dev/null
+++ b/scenarios/src/dsr/store.rs
@@ -0,0 +1,89 @@
+//! The platform's store: documents, their history, and what is wrong with it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use lovagespindle_decisions::Time;
+use lovagespindle_decisions::dsr::news::{
+    Bulletin,
+    Document,
+    Revision,
+    Scope, //
+};
+use lovagespindle_platform_stand_in::documents::Written;
+
+use super::news::Ask;
+
+/// What is wrong with the store.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) enum StoreState {
+    #[default]
+    Up,
+    Down,
+    Silent,
+    Slow,
+}
+
+/// The platform's store.
+#[derive(Default)]
+pub(super) struct Store {
+    documents: BTreeMap<Arc<str>, Document>,
+    history: Vec<Document>,
+    floor: Revision,
+    pub(super) revision: Revision,
+    pub(super) state: StoreState,
+    /// When something was last wrong with it.
+    pub(super) disturbed: Option<Time>,
+    /// Questions that wait for changes.
+    pub(super) waiting: Vec<Ask>,
+}
+
+impl Store {
+    /// Writes or removes a document.
+    pub(super) fn write(&mut self, written: Written) {
+        self.revision.0 += 1;
+        let document = Document {
+            key: written.key.into(),
+            revision: self.revision,
+            value: written.value.map(Bytes::from),
+        };
+        match document.value {
+            Some(_) => drop(
+                self.documents
+                    .insert(document.key.clone(), document.clone()),
+            ),
+            None => drop(self.documents.remove(&document.key)),
+        }
+        self.history.push(document);
+    }
+
+    pub(super) fn compact(&mut self) {
+        self.history.clear();
+        self.floor = self.revision;
+    }
+
+    /// Returns what changed after a revision, or everything; nothing if that history is gone.
+    pub(super) fn since(&self, known: Option<Revision>) -> Option<Bulletin> {
+        let (scope, documents) = match known {
+            Some(known) if known < self.floor => return None,
+            Some(known) => {
+                let newer = self.history.iter().filter(|d| d.revision > known);
+                (Scope::After(known), newer.cloned().collect())
+            }
+            None => {
+                // As the daemon reads the history for zones that came back.
+                let removed = self.history.iter().filter(|d| d.value.is_none());
+                let held = self.documents.values();
+                (Scope::All, held.chain(removed).cloned().collect())
+            }
+        };
+        Some(Bulletin {
+            documents,
+            at: self.revision,
+            scope,
+            age: Duration::ZERO,
+        })
+    }
+}
--- a/scenarios/src/dsr/world.rs
+++ b/scenarios/src/dsr/world.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use lovagespindle_decisions::Time;
+use lovagespindle_decisions::dsr::segment::FlowTuple;
 use lovagespindle_decisions::dsr::settings::Settings;
 
 use super::clients::{
@@ -39,6 +40,7 @@
     ServerKey, //
 };
 use super::site::Site;
+use super::store::Store;
 use crate::prelude::Dice;
 
 /// When traffic starts, after the instances did.
@@ -112,8 +114,10 @@
     /// The backend server at each address.
     pub(super) holders: HashMap<SocketAddrV4, ServerKey>,
     pub(super) flows: Vec<Flow>,
+    /// The flow of each pair of ends.
+    pub(super) tuples: HashMap<FlowTuple, FlowKey>,
     pub(super) requests: Vec<Request>,
-    pub(super) store: super::news::Store,
+    pub(super) store: Store,
     pub(super) operator: Operator,
     pub(super) rules: Rules,
     pub(super) measure: Measure,
@@ -139,8 +143,9 @@
             servers: Vec::new(),
             holders: HashMap::new(),
             flows: Vec::new(),
+            tuples: HashMap::new(),
             requests: Vec::new(),
-            store: super::news::Store::default(),
+            store: Store::default(),
             operator: Operator::new(site),
             rules: Rules::default(),
             measure: Measure::new(site),
