--- a/daemon/tests/dsr_settings.rs
+++ b/daemon/tests/dsr_settings.rs
@@ -64,7 +64,7 @@
             Err(reason) => reason.contains("file.toml"),
         }
     }
-    let tries = quickcheck::QuickCheck::new().tests(2_000);
+    let mut tries = quickcheck::QuickCheck::new().tests(2_000);
     tries.quickcheck(property as fn(Vec<(usize, u8)>, usize) -> bool);
 }
 
