Keep the timers of frozen instances in the emulator

The emulator dropped the request's time limit and the delayed next call to the store when they came due during the freeze, so that a woken instance waited for a reply for ever and used its view of 8 to 11 s ago. The daemon's timers fire after a pause.

Ruled out: the choice of the leader and of peers (followers named the right leader, which had no open call either) and the store's faults (it was up).

Both events now wait in the instance's inbox, as packets and replies do. woken_instances_ask_for_updates failed before and passes now.

--- a/scenarios/src/dsr/news.rs
+++ b/scenarios/src/dsr/news.rs
@@ -315,10 +315,10 @@
     /// A question was not answered in time, or refused.
     pub(super) fn overdue(&mut self, ask: Ask) {
         let (key, now) = (ask.from, self.now);
-        let machine = &mut self.machines[key.0];
-        if machine.epoch != ask.epoch || machine.state != State::Up {
+        if self.machines[key.0].epoch != ask.epoch || !self.takes(key, || Event::Overdue(ask)) {
             return;
         }
+        let machine = &mut self.machines[key.0];
         match ask.to {
             Source::Store if machine.follow.store == Some(ask.number) => {
                 machine.follow.store = None;
@@ -348,9 +348,11 @@
 
     /// Asks the store, unless another instance does.
     pub(super) fn follow_store(&mut self, key: MachineKey, epoch: u32) {
-        let machine = &self.machines[key.0];
-        let idle = machine.follow.store.is_none() && !machine.follow.served;
-        if !self.is_running(key, epoch) || !idle {
+        if !self.is_running(key, epoch) || !self.takes(key, || Event::Follow(key, epoch)) {
+            return;
+        }
+        let follow = &self.machines[key.0].follow;
+        if follow.store.is_some() || follow.served {
             return;
         }
         let known = self.machines[key.0].archive.known();
@@ -420,7 +422,7 @@
     fn is_running(&self, key: MachineKey, epoch: u32) -> bool {
         let machine = &self.machines[key.0];
         let thinks = !matches!(machine.mind, Mind::Omniscient);
-        machine.epoch == epoch && machine.state == State::Up && thinks
+        machine.epoch == epoch && machine.state != State::Down && thinks
     }
 }
 
--- a/scenarios/tests/dsr_days.rs
+++ b/scenarios/tests/dsr_days.rs
@@ -45,6 +45,14 @@
             play(&site, &Day::drawn(&site, seed), seed);
         }
     };
+    /// Guards against an emulator that drops the timers of a frozen instance: after waking, it would
+    /// never ask for updates again and use backend servers that have left.
+    woken_instances_ask_for_updates => {
+        for seed in [5_040, 7_007] {
+            let site = Site::drawn(seed);
+            play(&site, &Day::drawn(&site, seed), seed);
+        }
+    };
     /// Guards against a single fault, of any kind, that breaks a rule or ends the service.
     each_fault_is_survived => {
         for fault in Fault::iter() {
