Reset open flows of backend servers that are gone

Cause: on long flows, a client sends its next request into a flow whose backend server died, left or was cut off, and nothing answers until its time limit.

Change: an instance notices that a client retransmits. If the server showed no sign of life, it tries to connect twice within 80 ms. Without an answer, all flows that it knows at that server are reset, and so is each packet of one for a second. Flows of a server whose entry was removed while the store was available are reset as well, and so are those with a tag that the store confirms to be unknown. A result that is later than 400 ms is discarded. Packets of open flows are held until the first update of the store.

Four of the new tests fail with the detection switched off; the others guard against wrong resets and came with the code.

--- a/daemon/src/dsr/decision_log.rs
+++ b/daemon/src/dsr/decision_log.rs
@@ -109,6 +109,8 @@
             | Decision::Buffer { .. }
             | Decision::Established { .. }
             | Decision::Refuse { .. }
+            | Decision::ResetFlow { .. }
+            | Decision::ServerProbe { .. }
     )
 }
 
@@ -153,6 +155,20 @@
              news_age_ms={:.0}",
             millis(view_age)
         ),
+        Decision::ResetFlow {
+            flow,
+            server,
+            evidence,
+        } => log::info!("event=reset flow={flow} server={server} evidence={evidence}"),
+        Decision::ServerProbe {
+            server,
+            answer,
+            after,
+            lost,
+        } => log::info!(
+            "event=server_probe server={server} answer={answer} after_ms={:.0} lost={lost}",
+            millis(after)
+        ),
         Decision::Routes {
             version,
             count,
--- a/daemon/src/dsr/forwarder.rs
+++ b/daemon/src/dsr/forwarder.rs
@@ -37,6 +37,7 @@
     Segment,
     SegmentKind, //
 };
+use lovagespindle_decisions::dsr::server_loss::ServerProbe;
 use lovagespindle_decisions::dsr::settings::Settings as DecisionSettings;
 use lovagespindle_decisions::dsr::store_update::StoreUpdate;
 use lovagespindle_platform::packet;
@@ -44,6 +45,7 @@
 use tokio::sync::watch;
 
 use crate::dsr::decision_log::DecisionLog;
+use crate::dsr::held_packets::HeldPackets;
 use crate::dsr::metrics::Latencies;
 use crate::dsr::prober::{
     self,
@@ -94,6 +96,8 @@
     log: DecisionLog,
     /// Given to probe tasks, which report to this actor.
     self_ref: WeakActorRef<Forwarder>,
+    /// Packets that cannot be decided on before the first update of the store.
+    held: HeldPackets,
     /// Reused buffer; empty between events.
     actions: Vec<Action>,
     incoming: Vec<u8>,
@@ -120,6 +124,7 @@
             counts: Counts::default(),
             log: DecisionLog::new(arguments.latencies),
             self_ref: forwarder.downgrade(),
+            held: HeldPackets::default(),
             actions: Vec::new(),
             // One byte more than the largest packet, to detect datagrams that are too long.
             incoming: vec![0; packet::MAX_PACKET_SIZE + 1],
@@ -198,13 +203,22 @@
                     self.send(SocketAddr::V4(target.address));
                 }
             }
-            Verdict::Reset => self.reset(&segment.flow),
+            Verdict::Reset { sequence } => self.reset(&segment.flow, sequence),
+            Verdict::Hold => self.held.push(now, &self.incoming[..length]),
             Verdict::Drop => {}
         }
     }
 
-    fn reset(&mut self, flow: &FlowTuple) {
-        packet::encode_reset(flow, &mut self.outgoing);
+    /// Decides again on the packets that were held.
+    fn release_held(&mut self, now: Time) {
+        while let Some(packet) = self.held.pop(now) {
+            self.incoming[..packet.len()].copy_from_slice(&packet);
+            self.handle(packet.len());
+        }
+    }
+
+    fn reset(&mut self, flow: &FlowTuple, sequence: u32) {
+        packet::encode_reset(flow, sequence, &mut self.outgoing);
         self.send(SocketAddr::from((*flow.client.ip(), self.client_port)));
     }
 
@@ -227,7 +241,10 @@
                     packet::encode_syn(&flow, &syn, &target, &mut self.outgoing);
                     self.send(SocketAddr::V4(target.address));
                 }
-                Action::Reset(flow) => self.reset(&flow),
+                Action::Reset { flow, sequence } => self.reset(&flow, sequence),
+                Action::ProbeServer { server, address } => {
+                    prober::start_server_probe(server, address, now, self.self_ref.clone());
+                }
                 Action::Probe(addresses) => prober::start(addresses, self.self_ref.clone()),
             }
         }
@@ -254,6 +271,9 @@
     async fn handle(&mut self, update: StoreUpdate, _context: &mut Context<Self, ()>) {
         let now = self.clock.now();
         self.balancer.apply_update(now, update);
+        if self.balancer.has_routes() {
+            self.release_held(now);
+        }
         self.run_actions(now);
         self.update_readiness();
     }
@@ -271,6 +291,16 @@
     }
 }
 
+impl Message<ServerProbe> for Forwarder {
+    type Reply = ();
+
+    async fn handle(&mut self, probe: ServerProbe, _context: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        self.balancer.record_server_probe(now, probe);
+        self.run_actions(now);
+    }
+}
+
 impl Message<DecisionSettings> for Forwarder {
     type Reply = ();
 
--- a/daemon/src/dsr/mod.rs
+++ b/daemon/src/dsr/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod decision_log;
 pub mod forwarder;
+pub mod held_packets;
 pub mod http;
 pub mod metrics;
 pub mod peer_sync;
--- a/daemon/src/dsr/prober.rs
+++ b/daemon/src/dsr/prober.rs
@@ -1,13 +1,23 @@
 //! Probes whether backend servers accept TCP connections.
 
+use std::io;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use futures::future::join_all;
 use kameo::actor::WeakActorRef;
+use lovagespindle_decisions::Time;
+use lovagespindle_decisions::dsr::server_loss::{
+    ProbeAnswer,
+    ServerProbe, //
+};
+use lovagespindle_decisions::dsr::servers::ServerKey;
 use smallvec::SmallVec;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{
+    sleep,
+    timeout, //
+};
 
 use crate::dsr::forwarder::Forwarder;
 
@@ -15,6 +25,13 @@
 /// distant zones, and long enough for at most one retransmission by the operating system.
 const TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Timeout of a probe of a server that does not answer a client. Clients wait meanwhile, so it is
+/// shorter than [`TIMEOUT`]; it is several times the round-trip time between the most distant zones.
+const SERVER_TIMEOUT: Duration = Duration::from_millis(80);
+
+/// Delay of the second connection attempt of such a probe, in case a packet of the first is lost.
+const SECOND_ATTEMPT: Duration = Duration::from_millis(30);
+
 /// Result of a round of probes.
 pub struct ProbeResult {
     /// Number of backend servers probed.
@@ -38,6 +55,49 @@
     });
 }
 
+/// Starts a task that probes one backend server and reports to the forwarder.
+pub fn start_server_probe(
+    server: ServerKey,
+    address: SocketAddrV4,
+    started_at: Time,
+    forwarder: WeakActorRef<Forwarder>,
+) {
+    tokio::spawn(async move {
+        let result = ServerProbe {
+            server,
+            started_at,
+            answer: probe_server(address).await,
+        };
+        if let Some(forwarder) = forwarder.upgrade() {
+            // Fails only if the forwarder has stopped.
+            let _ = forwarder.tell(result).await;
+        }
+    });
+}
+
+/// Tries to connect twice, with a short delay. Returns the first definite answer.
+async fn probe_server(address: SocketAddrV4) -> ProbeAnswer {
+    let second = async {
+        sleep(SECOND_ATTEMPT).await;
+        TcpStream::connect(address).await
+    };
+    let either = async {
+        tokio::select! {
+            result = TcpStream::connect(address) => result,
+            result = second => result,
+        }
+    };
+    match timeout(SERVER_TIMEOUT, either).await {
+        Ok(Ok(_)) => ProbeAnswer::Accepted,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => ProbeAnswer::Refused,
+        Ok(Err(error)) => {
+            log::info!("event=probe_failed address={address} reason={error:?}");
+            ProbeAnswer::Silent
+        }
+        Err(_) => ProbeAnswer::Silent,
+    }
+}
+
 /// Returns whether a connection was accepted. A refused connection counts as unreachable, because a
 /// partition in the network may refuse it as well.
 async fn is_reachable(address: &SocketAddrV4) -> bool {
--- a/decisions/src/dsr/balancer.rs
+++ b/decisions/src/dsr/balancer.rs
@@ -47,7 +47,12 @@
     /// Sends the SYN to a backend server, with the target's tag.
     Open(Target),
     /// Resets the flow, so that the client stops waiting immediately.
-    Reset,
+    Reset {
+        /// The sequence number of the reset: on an open flow, the one that the client acknowledged.
+        sequence: u32,
+    },
+    /// Decides again after the first update of the store.
+    Hold,
     /// Sends nothing.
     Drop,
 }
@@ -62,7 +67,17 @@
         target: Target,
     },
     /// Resets the flow, so that the client stops waiting.
-    Reset(FlowTuple),
+    Reset {
+        flow: FlowTuple,
+        /// As in [`Verdict::Reset`].
+        sequence: u32,
+    },
+    /// Tries to connect to a backend server. The result goes to
+    /// [`Balancer::record_server_probe`].
+    ProbeServer {
+        server: ServerKey,
+        address: SocketAddrV4,
+    },
     /// Tries to connect to the backend servers at these addresses. The number of them that were
     /// reached goes to [`Balancer::record_probes`].
     Probe(SmallVec<[SocketAddrV4; 4]>),
@@ -117,6 +132,11 @@
         }
     }
 
+    /// Returns whether an update of the store was applied. Before that, packets are held.
+    pub fn has_routes(&self) -> bool {
+        self.view.table.is_some()
+    }
+
     /// Returns whether the instance can serve clients: it knows routes and is not isolated.
     pub fn is_ready(&self) -> bool {
         self.view.table.is_some() && !self.isolation.is_isolated()
@@ -158,7 +178,8 @@
         match verdict {
             Verdict::Forward(_) => self.counts.add(Count::Forwarded),
             Verdict::Open(_) => {}
-            Verdict::Reset => self.counts.add(Count::Resets),
+            Verdict::Reset { .. } => self.counts.add(Count::Resets),
+            Verdict::Hold => self.counts.add(Count::Held),
             Verdict::Drop => self.counts.add(Count::Drops),
         }
         verdict
@@ -195,6 +216,7 @@
                 ..
             } = self;
             view.sweep(now, settings, log);
+            self.reset_departed(now);
         }
     }
 }
--- a/decisions/src/dsr/counts.rs
+++ b/decisions/src/dsr/counts.rs
@@ -21,10 +21,16 @@
     Reopened,
     /// Handshakes that completed.
     Established,
+    /// Flows that were opened through another instance, and whose packets then arrived here.
+    Adopted,
     /// Flows that were reset.
     Resets,
     /// Packets that were dropped on purpose.
     Drops,
+    /// Probes of backend servers that did not answer a client.
+    ServerProbes,
+    /// Packets that were held until the first update of the store.
+    Held,
     /// Datagrams that were dropped because they contain no valid packet.
     Malformed,
     /// Datagrams that the operating system failed to send.
--- a/decisions/src/dsr/decision.rs
+++ b/decisions/src/dsr/decision.rs
@@ -4,6 +4,10 @@
 use std::time::Duration;
 
 use super::segment::FlowTuple;
+use super::server_loss::{
+    Evidence,
+    ProbeAnswer, //
+};
 use super::store_update::Revision;
 
 /// Reason for sending a SYN to a backend server.
@@ -72,6 +76,22 @@
         /// Time since the store last confirmed the view.
         view_age: Duration,
     },
+    /// An open flow was reset, because its backend server is gone.
+    ResetFlow {
+        flow: FlowTuple,
+        /// Empty if the server is unknown.
+        server: Arc<str>,
+        evidence: Evidence,
+    },
+    /// A backend server that did not answer a client was probed.
+    ServerProbe {
+        server: Arc<str>,
+        answer: ProbeAnswer,
+        /// Time since the probe was requested.
+        after: Duration,
+        /// Whether the server counts as gone.
+        lost: bool,
+    },
     /// New routes became active.
     Routes {
         version: u64,
--- a/decisions/src/dsr/established.rs
+++ b/decisions/src/dsr/established.rs
@@ -8,11 +8,9 @@
     Verdict, //
 };
 use super::counts::Count;
-use super::decision::{
-    Decision,
-    Refusal, //
-};
+use super::decision::Decision;
 use super::flows::{
+    Flow,
     FlowKey,
     Stage, //
 };
@@ -25,27 +23,78 @@
 impl Balancer {
     /// Forwards a packet that is not a SYN.
     pub(super) fn forward(&mut self, now: Time, segment: &Segment) -> Verdict {
+        if self.view.table.is_none() {
+            return Verdict::Hold;
+        }
         let tag_server = self.view.servers.find_tag(segment.tag);
         let key = self.flows.find(&segment.flow);
+        let key = key.or_else(|| self.adopt(now, segment, tag_server));
         let record_server = key.and_then(|key| self.advance(now, key, segment, tag_server));
+        let flow = key.and_then(|key| self.flows.get_mut(key));
+        let progress = flow.map(|flow| flow.record_position(now, &segment.position));
+        let progress = progress.unwrap_or_default();
         let server = record_server.or(tag_server);
-        match server.and_then(|key| self.view.servers.get(key)) {
-            Some(server) => Verdict::Forward(server.target),
-            None => {
-                self.log.push(Decision::Refuse {
-                    flow: segment.flow,
-                    refusal: Refusal::UnknownTag,
-                    reset: false,
-                    version: self.view.version(),
-                    view_age: self.view.age(now),
-                });
-                Verdict::Drop
+        let Some((server, target)) =
+            server.and_then(|key| Some((key, self.view.servers.get(key)?.target)))
+        else {
+            return self.refuse_unknown(now, segment, key, progress.retransmitted);
+        };
+        if progress.acknowledged {
+            self.record_sign(now, server);
+        }
+        if segment.kind == SegmentKind::Data {
+            if let Some(evidence) = self.loss_evidence(now, server) {
+                return self.reset_segment(segment, key, Some(server), evidence);
+            }
+            if progress.retransmitted || self.was_lost(server) {
+                self.probe_server(now, server);
             }
         }
+        Verdict::Forward(target)
+    }
+
+    /// Creates the record of a flow that was opened through another instance. Packets without data
+    /// create none, because they may belong to a flow that has ended.
+    fn adopt(
+        &mut self,
+        now: Time,
+        segment: &Segment,
+        tag_server: Option<ServerKey>,
+    ) -> Option<FlowKey> {
+        let is_request = segment.kind == SegmentKind::Data && segment.position.length > 0;
+        if !is_request || self.flows.len() >= self.settings.max_flows {
+            return None;
+        }
+        let server = tag_server.and_then(|key| Some((key, self.view.servers.get(key)?)));
+        let (stage, service) = match server {
+            Some((key, server)) => (Stage::Open(key), server.entry.service.clone()),
+            None => (Stage::Unknown, "".into()),
+        };
+        let flow = Flow {
+            tuple: segment.flow,
+            route: service.clone(),
+            service,
+            syn: None,
+            opened_at: now,
+            stage,
+            last_packet: now,
+            sent_end: None,
+            sent_at: now,
+            acked: segment.position.acked,
+            active: false,
+        };
+        self.counts.add(Count::Adopted);
+        Some(self.flows.insert(flow, now + self.settings.pause))
+    }
+
+    fn record_sign(&mut self, now: Time, server: ServerKey) {
+        if let Some(server) = self.view.servers.get_mut(server) {
+            server.liveness.record_sign(now);
+        }
     }
 
     /// Updates the record of a flow for a packet. Returns the backend server at which the flow is
-    /// open or was closed, or `None` if the flow is opening and the tag is unknown.
+    /// open or was closed, or `None` if neither the record nor the tag names one.
     ///
     /// The record takes precedence over the tag, because a SYN-ACK from a second server changes the
     /// client's tag.
@@ -65,6 +114,10 @@
                 tag_server?
             }
             Stage::Open(server) | Stage::Closed(server) => server,
+            Stage::Unknown => {
+                flow.stage = Stage::Open(tag_server?);
+                tag_server?
+            }
         };
         let flow = self.flows.get_mut(key)?;
         if closes {
@@ -107,6 +160,7 @@
             return;
         };
         answered.active_flows += 1;
+        answered.liveness.record_sign(now);
         let Some(attempt) = attempts.iter().find(|attempt| attempt.server == server) else {
             return;
         };
--- a/decisions/src/dsr/flows.rs
+++ b/decisions/src/dsr/flows.rs
@@ -6,6 +6,7 @@
     HashMap, //
 };
 use std::sync::Arc;
+use std::time::Duration;
 
 use slotmap::SlotMap;
 use smallvec::SmallVec;
@@ -14,7 +15,9 @@
 
 use super::segment::{
     FlowTuple,
-    Syn, //
+    Position,
+    Syn,
+    is_after, //
 };
 use super::servers::ServerKey;
 
@@ -41,8 +44,10 @@
     Opening(SmallVec<[Attempt; 2]>),
     /// The handshake with this backend server completed.
     Open(ServerKey),
-    /// The client sent a FIN or RST.
+    /// The client sent a FIN or RST, or this instance reset the flow.
     Closed(ServerKey),
+    /// Opened through another instance, at a backend server that is unknown.
+    Unknown,
 }
 
 #[derive(Clone, Debug)]
@@ -51,13 +56,19 @@
     pub(super) service: Arc<str>,
     /// The name of the route, for logs.
     pub(super) route: Arc<str>,
-    /// The client's latest SYN.
-    pub(super) syn: Syn,
-    /// Arrival time of the first SYN.
+    /// The client's latest SYN, or `None` if the flow was opened through another instance.
+    pub(super) syn: Option<Syn>,
+    /// Arrival time of the first packet.
     pub(super) opened_at: Time,
     pub(super) stage: Stage,
     /// Arrival time of the client's last packet.
     pub(super) last_packet: Time,
+    /// The sequence number after the client's latest data, or `None` before the first data.
+    pub(super) sent_end: Option<u32>,
+    /// Arrival time of the first transmission of the latest data.
+    pub(super) sent_at: Time,
+    /// The sequence number that the client acknowledged last.
+    pub(super) acked: u32,
     /// Whether the flow counts among the active flows of its backend servers.
     pub(super) active: bool,
 }
@@ -68,10 +79,43 @@
         match &self.stage {
             Stage::Opening(attempts) => attempts.iter().map(|attempt| attempt.server).collect(),
             Stage::Open(server) | Stage::Closed(server) => SmallVec::from_slice(&[*server]),
+            Stage::Unknown => SmallVec::new(),
+        }
+    }
+
+    /// Records the position of a packet that is not a SYN.
+    pub(super) fn record_position(&mut self, now: Time, position: &Position) -> Progress {
+        let acknowledged = self.sent_end.is_some() && is_after(position.acked, self.acked);
+        if acknowledged || self.sent_end.is_none() {
+            self.acked = position.acked;
+        }
+        let is_new = self.sent_end.is_none_or(|end| is_after(position.end, end));
+        if is_new {
+            self.sent_end = Some(position.end);
+            self.sent_at = now;
+        }
+        Progress {
+            acknowledged,
+            retransmitted: !is_new
+                && position.length > 0
+                && now.since(self.sent_at) >= MIN_RETRANSMISSION,
         }
     }
 }
 
+/// What a packet shows about its flow.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct Progress {
+    /// The client received more data of the backend server.
+    pub(super) acknowledged: bool,
+    /// The client sent data again that was not acknowledged.
+    pub(super) retransmitted: bool,
+}
+
+/// Data that arrives again sooner was reordered or duplicated by the network. Clients retransmit
+/// after 200 ms.
+const MIN_RETRANSMISSION: Duration = Duration::from_millis(150);
+
 /// The records of all flows. Each flow has one timer.
 #[derive(Debug, Default)]
 pub(super) struct Flows {
@@ -94,6 +138,13 @@
         self.arena.get_mut(key)
     }
 
+    /// Returns the flows that are open at a backend server.
+    pub(super) fn iter_open(&self, server: ServerKey) -> impl Iterator<Item = FlowKey> {
+        let open = move |flow: &Flow| matches!(flow.stage, Stage::Open(at) if at == server);
+        let all = self.arena.iter();
+        all.filter_map(move |(key, flow)| open(flow).then_some(key))
+    }
+
     /// Adds a flow whose timer ends at `due`.
     pub(super) fn insert(&mut self, flow: Flow, due: Time) -> FlowKey {
         let tuple = flow.tuple;
--- a/decisions/src/dsr/passive_health.rs
+++ b/decisions/src/dsr/passive_health.rs
@@ -95,6 +95,16 @@
         }
     }
 
+    /// Records that a backend server is gone. Returns whether the state changed.
+    pub(super) fn mark_lost(&mut self, now: Time, settings: &Settings) -> bool {
+        let suspect = matches!(self.state(now), HealthState::Suspect { .. });
+        if !suspect {
+            self.failures = SUSPECT_AFTER;
+            self.mark_suspect(now, settings.first_retry, settings);
+        }
+        !suspect
+    }
+
     fn mark_suspect(&mut self, now: Time, backoff: Duration, settings: &Settings) {
         self.state = HealthState::Suspect {
             retry: now + backoff,
--- a/decisions/src/dsr/segment.rs
+++ b/decisions/src/dsr/segment.rs
@@ -61,12 +61,30 @@
     Rst,
 }
 
+/// The position of a packet in the two byte streams of its flow.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Position {
+    /// The sequence number after the last byte of the packet.
+    pub end: u32,
+    /// The number of data bytes in the packet.
+    pub length: u16,
+    /// The sequence number up to which the client received the backend server's bytes.
+    pub acked: u32,
+}
+
+/// Returns whether sequence number `a` is after `b`. Sequence numbers wrap around.
+pub(super) fn is_after(a: u32, b: u32) -> bool {
+    // The signed difference is positive for the half of the number space that follows `b`.
+    a.wrapping_sub(b).cast_signed() > 0
+}
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Segment {
     pub flow: FlowTuple,
     pub kind: SegmentKind,
     /// The latest tag that the client received, or zero before the first one.
     pub tag: Tag,
+    pub position: Position,
 }
 
 /// The destination of a packet.
--- a/decisions/src/dsr/servers.rs
+++ b/decisions/src/dsr/servers.rs
@@ -12,6 +12,7 @@
     Tag,
     Target, //
 };
+use super::server_loss::Liveness;
 use super::store_update::{
     Revision,
     ServerEntry, //
@@ -19,7 +20,7 @@
 
 slotmap::new_key_type! {
     /// Key of a backend server; valid in this process only.
-    pub(super) struct ServerKey;
+    pub struct ServerKey;
 }
 
 /// The state of a backend server's entry in the store.
@@ -54,6 +55,7 @@
     /// Time at which its zone was restored, if it has not written its entry since. It may be cold.
     pub(super) zone_restored: Option<Time>,
     pub(super) health: PassiveHealth,
+    pub(super) liveness: Liveness,
     /// Active flows that this instance opened at the server.
     pub(super) active_flows: u32,
 }
--- a/decisions/src/dsr/store_view.rs
+++ b/decisions/src/dsr/store_view.rs
@@ -13,6 +13,7 @@
     Tag,
     Target, //
 };
+use super::server_loss::Liveness;
 use super::servers::{
     Registration,
     Server,
@@ -33,6 +34,10 @@
 /// reach it. Flows last at most this long.
 const RETENTION: Duration = Duration::from_secs(60);
 
+/// Time without a confirmation by the store after which entries may have expired although their
+/// backend servers live. Confirmations are at most about 1.5 s apart while the store answers.
+const MAX_GAP: Duration = Duration::from_secs(2);
+
 /// The routes, backend servers and zones according to the store.
 #[derive(Debug, Default)]
 pub(super) struct StoreView {
@@ -43,6 +48,10 @@
     pub(super) evacuated: HashSet<Arc<str>>,
     /// The time of the last confirmation by the store.
     pub(super) last_confirmed: Option<Time>,
+    /// The time since which the store has confirmed the view without a long gap.
+    steady_since: Time,
+    /// Backend servers whose entries were removed, and whose open flows were not reset since.
+    pub(super) removed: Vec<ServerKey>,
     /// The revision up to which the view is complete.
     revision: Revision,
 }
@@ -66,6 +75,12 @@
             .map_or(Duration::ZERO, |table| table.warmup)
     }
 
+    /// Returns whether the entries of all live backend servers are in the view: the store has been
+    /// available for long enough that those that expired during an outage were written again.
+    pub(super) fn is_settled(&self, now: Time, settings: &Settings) -> bool {
+        now.since(self.steady_since) >= settings.lapse && self.age(now) < MAX_GAP
+    }
+
     /// Applies an update. The view is complete up to its revision, so older changes are skipped,
     /// and a delta that starts after it is ignored, because changes in between would be lost.
     pub(super) fn apply(&mut self, now: Time, mut update: StoreUpdate, log: &mut Vec<Decision>) {
@@ -77,7 +92,14 @@
             }
             UpdateKind::Delta(_) | UpdateKind::Snapshot => {}
         }
-        self.last_confirmed = self.last_confirmed.max(Some(now - update.age));
+        let confirmed = now - update.age;
+        if self
+            .last_confirmed
+            .is_none_or(|last| confirmed.since(last) >= MAX_GAP)
+        {
+            self.steady_since = confirmed;
+        }
+        self.last_confirmed = self.last_confirmed.max(Some(confirmed));
         let known = self.revision;
         for change in update.changes.into_iter().filter(|c| c.revision > known) {
             self.change(now, change, log);
@@ -173,6 +195,7 @@
             warm_at: Time::ZERO,
             zone_restored: None,
             health: PassiveHealth::new(),
+            liveness: Liveness::default(),
             active_flows: 0,
         })
     }
@@ -209,6 +232,9 @@
             return;
         };
         server.registration = registration;
+        if matches!(registration, Registration::Removed(_)) {
+            self.removed.push(key);
+        }
         server.revision = server.revision.max(revision);
         log.push(Decision::Registration {
             server: server.id.clone(),
--- a/decisions/src/dsr/syn.rs
+++ b/decisions/src/dsr/syn.rs
@@ -34,6 +34,7 @@
     Syn, //
 };
 use super::servers::ServerKey;
+use super::timers::OPEN_TIMEOUT;
 
 /// Maximum number of backend servers that are sent the SYN of one flow. Clients retransmit a SYN
 /// twice.
@@ -49,10 +50,14 @@
 impl Balancer {
     pub(super) fn open(&mut self, now: Time, tuple: FlowTuple, syn: Syn) -> Verdict {
         if let Some(key) = self.flows.find(&tuple) {
-            let same = |flow: &&mut Flow| flow.syn.sequence == syn.sequence;
+            let same = |flow: &&mut Flow| match flow.syn {
+                Some(first) => first.sequence == syn.sequence,
+                // A late retransmission of the SYN that another instance handled.
+                None => syn.retransmits > 0 && now.since(flow.opened_at) < OPEN_TIMEOUT,
+            };
             if let Some(flow) = self.flows.get_mut(key).filter(same) {
                 flow.last_packet = now;
-                flow.syn = syn;
+                flow.syn = Some(syn);
                 self.record_timeouts(now, key);
                 return self.reopen(now, key);
             }
@@ -95,8 +100,8 @@
             }
             match self.open(now, flow, syn) {
                 Verdict::Open(target) => self.actions.push(Action::Open { flow, syn, target }),
-                Verdict::Reset => self.actions.push(Action::Reset(flow)),
-                Verdict::Forward(_) | Verdict::Drop => {}
+                Verdict::Reset { sequence } => self.actions.push(Action::Reset { flow, sequence }),
+                Verdict::Forward(_) | Verdict::Drop | Verdict::Hold => {}
             }
         }
     }
@@ -111,10 +116,13 @@
             tuple,
             service: service.clone(),
             route: route.name.clone(),
-            syn,
+            syn: Some(syn),
             opened_at: now,
             stage: Stage::Opening(SmallVec::new()),
             last_packet: now,
+            sent_end: None,
+            sent_at: now,
+            acked: 0,
             active: true,
         };
         self.counts.add(Count::Opened);
@@ -218,7 +226,10 @@
             version: self.view.version(),
             view_age: self.view.age(now),
         });
-        if reset { Verdict::Reset } else { Verdict::Drop }
+        match reset {
+            true => Verdict::Reset { sequence: 0 },
+            false => Verdict::Drop,
+        }
     }
 
     pub(super) fn choose(
--- a/decisions/src/dsr/timers.rs
+++ b/decisions/src/dsr/timers.rs
@@ -27,7 +27,7 @@
 const LINGER: Duration = Duration::from_secs(2);
 
 /// Longest time for which a client tries to open a flow: 1.4 s, and some network delay.
-const OPEN_TIMEOUT: Duration = Duration::from_millis(1_600);
+pub(super) const OPEN_TIMEOUT: Duration = Duration::from_millis(1_600);
 
 impl Balancer {
     /// Handles the end of a flow's timer. Returns the end of the next one, or `None` if the record
@@ -42,11 +42,11 @@
                 None
             }
             Stage::Opening(_) => Some(self.check_timeout(now, key, stalled)),
-            Stage::Closed(_) if quiet >= LINGER => {
+            Stage::Closed(_) | Stage::Unknown if quiet >= LINGER => {
                 self.forget(key);
                 None
             }
-            Stage::Closed(_) => Some(flow.last_packet + LINGER),
+            Stage::Closed(_) | Stage::Unknown => Some(flow.last_packet + LINGER),
             Stage::Open(_) if quiet >= idle => {
                 self.forget(key);
                 None
@@ -122,6 +122,7 @@
         }
         for server in changed {
             self.log_health(now, server);
+            self.probe_suspect(now, server);
         }
     }
 
@@ -137,7 +138,7 @@
             self.check_isolation(now);
             return None;
         };
-        let (tuple, syn) = (flow.tuple, flow.syn);
+        let (tuple, syn) = (flow.tuple, flow.syn?);
         self.counts.add(Count::Reopened);
         let cause = Cause::Unanswered;
         let Verdict::Open(target) = self.send_syn(now, Some(key), flow, server, tier, cause) else {
--- a/decisions/tests/dsr.rs
+++ b/decisions/tests/dsr/flows.rs
@@ -1,14 +1,13 @@
-//! Tests of the decisions for direct server return.
-
-mod dsr_rig;
+//! Opening and forwarding of flows.
 
 use std::time::Duration;
 
-use dsr_rig::{
+use crate::rig::{
     Rig,
     cases,
     entry,
-    ms, //
+    ms,
+    table, //
 };
 use lovagespindle_decisions::dsr::balancer::{
     Action,
@@ -169,7 +168,7 @@
         rig.apply(Change::ServerRemoved("s1".into()));
         assert_eq!(rig.open().identity, 1);
         rig.advance(ms(2_500));
-        assert_eq!(rig.send_syn(), Verdict::Reset);
+        assert_eq!(rig.send_syn(), Verdict::Reset { sequence: 0 });
     }
 
     /// Guards against flows at a backend server that drained and left.
@@ -180,7 +179,7 @@
         leaving.draining = true;
         rig.apply(Change::Server("s1".into(), leaving));
         rig.apply(Change::ServerRemoved("s1".into()));
-        assert_eq!(rig.send_syn(), Verdict::Reset);
+        assert_eq!(rig.send_syn(), Verdict::Reset { sequence: 0 });
     }
 
     /// Guards against packets of open flows that do not reach a backend server without an entry.
@@ -211,7 +210,7 @@
     late_retransmission_is_not_reset => {
         let mut rig = Rig::new();
         rig.serve_only(&[]);
-        assert_eq!(rig.send_syn(), Verdict::Reset);
+        assert_eq!(rig.send_syn(), Verdict::Reset { sequence: 0 });
         let mut retransmission = rig.next_segment();
         if let SegmentKind::Syn(syn) = &mut retransmission.kind {
             syn.retransmits = 1;
@@ -223,7 +222,7 @@
     older_routes_are_ignored => {
         let mut rig = Rig::new();
         rig.serve();
-        rig.apply(Change::Routes(dsr_rig::table(0, &[])));
+        rig.apply(Change::Routes(table(0, &[])));
         rig.open();
     }
 
--- /dev/null
+++ b/decisions/tests/dsr/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the decisions for direct server return.
+
+mod flows;
+mod rig;
+mod server_loss;
--- a/decisions/tests/dsr_rig/mod.rs
+++ b/decisions/tests/dsr/rig.rs
@@ -22,12 +22,17 @@
 };
 use lovagespindle_decisions::dsr::segment::{
     FlowTuple,
+    Position,
     Segment,
     SegmentKind,
     Syn,
     Tag,
     Target, //
 };
+use lovagespindle_decisions::dsr::server_loss::{
+    ProbeAnswer,
+    ServerProbe, //
+};
 use lovagespindle_decisions::dsr::settings::Settings;
 use lovagespindle_decisions::dsr::store_update::{
     Change,
@@ -194,6 +199,16 @@
         self.balancer.apply_update(self.now, update);
     }
 
+    /// Advances the time while the store confirms the current revision twice a second.
+    pub(crate) fn confirm_for(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.now < end {
+            self.advance(end.since(self.now).min(ms(500)));
+            self.confirm();
+        }
+        self.advance(ms(250));
+    }
+
     /// Applies a change, leaving out the one before it.
     pub(crate) fn apply_after_gap(&mut self, change: Change) {
         self.revision += 1;
@@ -256,6 +271,7 @@
                 checksum: 9,
             }),
             tag: Tag::default(),
+            position: Position::default(),
         }
     }
 
@@ -314,6 +330,69 @@
             .packet(self.now, &segment(flow, SegmentKind::Data, tag))
     }
 
+    /// Sends a packet with data on a flow. `end` is the sequence number after the data, and `acked`
+    /// what the client received.
+    pub(crate) fn send_request(
+        &mut self,
+        flow: FlowTuple,
+        tag: Tag,
+        (end, acked): (u32, u32),
+    ) -> Verdict {
+        let mut packet = segment(flow, SegmentKind::Data, tag);
+        packet.position = Position {
+            end,
+            length: 100,
+            acked,
+        };
+        self.balancer.packet(self.now, &packet)
+    }
+
+    pub(crate) fn last_flow(&self) -> FlowTuple {
+        self.last_flow.expect("a flow was opened")
+    }
+
+    /// Opens a flow and completes its handshake with the first request.
+    pub(crate) fn open_long_flow(&mut self) -> (FlowTuple, Target) {
+        let target = self.open();
+        let flow = self.last_flow();
+        self.advance(HANDSHAKE);
+        self.send_request(flow, target.tag, (100, 1));
+        (flow, target)
+    }
+
+    /// Answers the pending probes of single servers. Returns how many there were.
+    pub(crate) fn answer_server_probes(&mut self, after: Duration, answer: ProbeAnswer) -> usize {
+        let started_at = self.now;
+        let actions = self.actions();
+        let servers: Vec<_> = actions
+            .iter()
+            .filter_map(|action| match action {
+                Action::ProbeServer { server, .. } => Some(*server),
+                _ => None,
+            })
+            .collect();
+        self.advance(after);
+        for server in &servers {
+            let probe = ServerProbe {
+                server: *server,
+                started_at,
+                answer,
+            };
+            self.balancer.record_server_probe(self.now, probe);
+        }
+        servers.len()
+    }
+
+    /// Returns the flows that were reset without a packet of theirs, with the sequence numbers.
+    pub(crate) fn resets(&mut self) -> Vec<(FlowTuple, u32)> {
+        let actions = self.actions();
+        let resets = actions.into_iter().filter_map(|action| match action {
+            Action::Reset { flow, sequence } => Some((flow, sequence)),
+            _ => None,
+        });
+        resets.collect()
+    }
+
     pub(crate) fn stop_answers(&mut self, server: u64) {
         self.unresponsive.push(server);
     }
@@ -365,5 +444,10 @@
 }
 
 fn segment(flow: FlowTuple, kind: SegmentKind, tag: Tag) -> Segment {
-    Segment { flow, kind, tag }
+    Segment {
+        flow,
+        kind,
+        tag,
+        position: Position::default(),
+    }
 }
--- a/scenarios/src/dsr/clients.rs
+++ b/scenarios/src/dsr/clients.rs
@@ -9,6 +9,7 @@
 use lovagespindle_decisions::Time;
 use lovagespindle_decisions::dsr::segment::{
     FlowTuple,
+    Position,
     SegmentKind,
     Syn,
     Tag, //
@@ -29,6 +30,8 @@
 /// The first wait before a packet is sent again, and the longest.
 pub(super) const RESENDS: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_millis(1_600));
+/// The bytes of a request.
+const REQUEST_LENGTH: u16 = 200;
 /// How often a request is tried again.
 const RETRIES: u32 = 2;
 /// The pause before a request is tried again.
@@ -104,6 +107,19 @@
             Uplink::Finish => SegmentKind::Fin,
         }
     }
+
+    /// Returns the position of the packet in a flow that starts at `sequence`. A request is one
+    /// packet, and each part of the answer counts as one byte.
+    pub(super) fn position(&self, sequence: u32) -> Position {
+        let end = sequence.wrapping_add(1 + u32::from(REQUEST_LENGTH));
+        let (end, length, acked) = match self {
+            Uplink::Open { .. } => (sequence, 0, 0),
+            Uplink::Request(_) => (end, REQUEST_LENGTH, 0),
+            Uplink::Part(round) => (end, 0, round + 1),
+            Uplink::Finish => (end, 0, u32::from(u16::MAX)),
+        };
+        Position { end, length, acked }
+    }
 }
 
 /// What a client receives.
--- a/scenarios/src/dsr/faults.rs
+++ b/scenarios/src/dsr/faults.rs
@@ -144,6 +144,7 @@
                     .iter()
                     .position(|zone| *zone == concerned.zone);
                 cut.map(|at| self.network.cut.swap_remove(at));
+                self.network.healed.insert(concerned.zone, self.now);
                 let all = 0..self.machines.len();
                 let touched = Concerned {
                     machines: all.map(MachineKey).collect(),
--- a/scenarios/src/dsr/machines.rs
+++ b/scenarios/src/dsr/machines.rs
@@ -43,8 +43,8 @@
 /// How long a process takes to start.
 const START: Duration = Duration::from_millis(60);
 
-/// How long a probe waits for its answer, as the daemon's.
-const PROBE: Duration = Duration::from_millis(300);
+/// How long a packet waits for the first update of the store, as in the daemon.
+const HELD: Duration = Duration::from_millis(800);
 
 /// The port on which instances ask each other.
 const PORT: u16 = 7_100;
@@ -80,6 +80,8 @@
     pub(super) follow: Follow,
     /// Events that wait until it wakes.
     pub(super) inbox: Vec<Event>,
+    /// Packets that wait for the first update of the store.
+    held: Vec<(Time, FlowKey, Uplink)>,
     pub(super) tick: Option<Time>,
     pub(super) misses: u32,
     pub(super) rotated: bool,
@@ -115,6 +117,7 @@
             peers: Peers::new(address, &zone_name(zone), &[], 0),
             follow: Follow::default(),
             inbox: Vec::new(),
+            held: Vec::new(),
             tick: None,
             misses: 0,
             rotated: false,
@@ -150,6 +153,7 @@
         machine.peers = Peers::new(machine.address, &zone, &seeds, seed);
         machine.follow = Follow::default();
         machine.inbox.clear();
+        machine.held.clear();
         machine.tick = None;
         let epoch = machine.epoch;
         self.send(START, Event::Follow(key, epoch));
@@ -213,7 +217,8 @@
             Verdict::Forward(target) | Verdict::Open(target) => {
                 self.forward(key, flow, uplink, target);
             }
-            Verdict::Reset => self.refuse(key, flow),
+            Verdict::Reset { .. } => self.refuse(key, flow),
+            Verdict::Hold => self.machines[key.0].held.push((now, flow, uplink)),
             Verdict::Drop => self.flows[flow.0].hint = Loss::Dropped,
         }
         self.act(key);
@@ -263,12 +268,15 @@
                         self.forward(key, flow, uplink, target);
                     }
                 }
-                Action::Reset(flow) => {
+                Action::Reset { flow, .. } => {
                     if let Some(flow) = self.flow_of(&flow) {
                         self.refuse(key, flow);
                     }
                 }
                 Action::Probe(addresses) => self.probe(key, &addresses),
+                Action::ProbeServer { server, address } => {
+                    self.probe_server(key, server, address);
+                }
             }
         }
         let now = self.now;
@@ -296,44 +304,25 @@
         self.act(key);
     }
 
-    fn probe(&mut self, key: MachineKey, addresses: &[SocketAddrV4]) {
-        let epoch = self.machines[key.0].epoch;
-        let (mut reached, mut last) = (0, Duration::ZERO);
-        for address in addresses {
-            self.measure.probes += 1;
-            let up = self
-                .holder(*address)
-                .is_some_and(|s| self.servers[s.0].is_up());
-            match self.server_delay(key, zone_at(*address)) {
-                Ok(delay) if up => {
-                    reached += 1;
-                    last = last.max(delay * 2);
-                }
-                _ => last = PROBE,
-            }
-        }
-        let outcome = Event::Probed(key, epoch, addresses.len(), reached);
-        self.send(last, outcome);
-    }
-
-    pub(super) fn probed(&mut self, key: MachineKey, epoch: u32, probed: usize, reached: usize) {
-        if !self.takes(key, || Event::Probed(key, epoch, probed, reached)) {
-            return;
-        }
+    /// Handles the packets that waited for the first update of the store.
+    fn release_held(&mut self, key: MachineKey) {
         let now = self.now;
-        let machine = &mut self.machines[key.0];
-        if machine.epoch == epoch
-            && let Mind::Decisions(balancer) = &mut machine.mind
-        {
-            balancer.record_probes(now, probed, reached);
-            self.act(key);
+        for (at, flow, uplink) in std::mem::take(&mut self.machines[key.0].held) {
+            if now.since(at) < HELD {
+                self.machine_packet(key, flow, uplink);
+            }
         }
     }
 
     pub(super) fn tell_mind(&mut self, key: MachineKey, news: StoreUpdate) {
         let now = self.now;
         match &mut self.machines[key.0].mind {
-            Mind::Decisions(balancer) => balancer.apply_update(now, news),
+            Mind::Decisions(balancer) => {
+                balancer.apply_update(now, news);
+                if balancer.has_routes() {
+                    self.release_held(key);
+                }
+            }
             Mind::InTurn(mind) => mind.learn(now, news),
             Mind::Omniscient => {}
         }
@@ -346,6 +335,7 @@
             flow: flow.tuple,
             kind: uplink.kind(flow.sequence),
             tag: flow.tag,
+            position: uplink.position(flow.sequence),
         }
     }
 
@@ -360,6 +350,6 @@
 }
 
 /// Returns the zone of a backend server's address.
-fn zone_at(address: SocketAddrV4) -> usize {
+pub(super) fn zone_at(address: SocketAddrV4) -> usize {
     usize::from(address.ip().octets()[1]) - super::servers::FIRST_NETWORK
 }
--- a/scenarios/src/dsr/minds.rs
+++ b/scenarios/src/dsr/minds.rs
@@ -78,7 +78,7 @@
         };
         let route = table.routes.get(&segment.flow.service);
         let Some(service) = route.and_then(|route| route.service(&segment.flow)) else {
-            return Verdict::Reset;
+            return Verdict::Reset { sequence: 0 };
         };
         let usable = |(entry, warm): &&(ServerEntry, Time)| {
             entry.service == *service
@@ -90,7 +90,7 @@
             self.entries.values().filter(usable).map(|e| &e.0).collect();
         usable.sort_by_key(|entry| entry.identity);
         if usable.is_empty() {
-            return Verdict::Reset;
+            return Verdict::Reset { sequence: 0 };
         }
         self.next += 1;
         Verdict::Open(target(usable[self.next % usable.len()]))
@@ -111,7 +111,7 @@
             return found.map_or(Verdict::Drop, |server| Verdict::Forward(target(server)));
         }
         let Some(service) = self.operator.service(segment.flow.service) else {
-            return Verdict::Reset;
+            return Verdict::Reset { sequence: 0 };
         };
         let zone = self.machines[key.0].zone;
         let reached = |server: &&Server| {
--- a/scenarios/src/dsr/mod.rs
+++ b/scenarios/src/dsr/mod.rs
@@ -12,6 +12,7 @@
 mod news;
 mod operator;
 mod plot;
+mod probes;
 mod routers;
 mod rules;
 mod servers;
--- a/scenarios/src/dsr/network.rs
+++ b/scenarios/src/dsr/network.rs
@@ -1,8 +1,13 @@
 //! Ways of packets: delays, loss and cuts.
 
-use std::collections::HashSet;
+use std::collections::{
+    HashMap,
+    HashSet, //
+};
 use std::time::Duration;
 
+use lovagespindle_decisions::Time;
+
 use super::machines::MachineKey;
 use super::world::World;
 
@@ -14,6 +19,8 @@
 pub(super) struct Network {
     /// Zones that are cut off from the other zones; one that is cut twice is here twice.
     pub(super) cut: Vec<usize>,
+    /// When the last cut of each zone ended.
+    pub(super) healed: HashMap<usize, Time>,
     /// Instances that reach no backend server.
     pub(super) no_servers: HashSet<MachineKey>,
     /// Instances that do not reach the store.
@@ -30,6 +37,15 @@
 }
 
 impl World {
+    /// Returns whether the link between two zones was open for a while.
+    pub(super) fn is_steady(&self, from: usize, to: usize, since: Duration) -> bool {
+        let healed = |zone: usize| {
+            let at = self.network.healed.get(&zone);
+            at.is_none_or(|at| self.now.since(*at) >= since)
+        };
+        self.is_open(from, to) && (from == to || healed(from) && healed(to))
+    }
+
     /// Returns whether packets pass between two zones.
     pub(super) fn is_open(&self, from: usize, to: usize) -> bool {
         from == to
--- a/scenarios/src/dsr/rules.rs
+++ b/scenarios/src/dsr/rules.rs
@@ -146,11 +146,20 @@
         if state.stage != Stage::Done
             && let Some((server, _)) = state.opened
             && self.is_calm(server)
+            && self.is_steady(
+                self.machines[key.0].zone,
+                self.servers[server.0].zone,
+                CONTACT,
+            )
             && self.in_touch(key)
         {
             let tuple = state.tuple;
             self.breach(Rule::Reset, format!("{tuple} by {}", key.0));
         }
+        // A flow that opened was not refused, whatever ends it later.
+        if self.flows[flow.0].opened.is_some() {
+            return;
+        }
         let address = self.flows[flow.0].tuple.service;
         let route = self.operator.routes.iter().find(|r| r.address == address);
         let known = route.is_some_and(|route| {
--- a/scenarios/src/dsr/world.rs
+++ b/scenarios/src/dsr/world.rs
@@ -9,6 +9,7 @@
 
 use lovagespindle_decisions::Time;
 use lovagespindle_decisions::dsr::segment::FlowTuple;
+use lovagespindle_decisions::dsr::server_loss::ServerProbe;
 use lovagespindle_decisions::dsr::settings::Settings;
 
 use super::clients::{
@@ -79,6 +80,7 @@
     Tick(MachineKey, u32),
     Check,
     Probed(MachineKey, u32, usize, usize),
+    ProbedServer(MachineKey, u32, ServerProbe),
     Start(MachineKey),
     Follow(MachineKey, u32),
     Elect(MachineKey, u32),
@@ -220,6 +222,7 @@
             Event::Probed(machine, epoch, probed, reached) => {
                 self.probed(machine, epoch, probed, reached);
             }
+            Event::ProbedServer(machine, epoch, probe) => self.probed_server(machine, epoch, probe),
             Event::Start(machine) => self.start_machine(machine),
             Event::Follow(machine, epoch) => self.follow_store(machine, epoch),
             Event::Elect(machine, epoch) => self.elect(machine, epoch),
