End a stopping instance when the routers have left it

Cause: an instance that was told to stop ended its process after a fixed 2 s.

Ruled out: a slow start (60 ms to the first route) and the store.

A stopping instance now ends when two readiness checks have failed and no packet has arrived for 300 ms, and a second before it would be killed at the latest. It is back before the next one leaves, and goes on forwarding for as long as the routers use it. The setting shutdown.linger gives way to shutdown.grace and shutdown.quiet.

--- a/daemon/src/dsr/forwarder.rs
+++ b/daemon/src/dsr/forwarder.rs
@@ -39,10 +39,17 @@
 };
 use lovagespindle_decisions::dsr::server_loss::ServerProbe;
 use lovagespindle_decisions::dsr::settings::Settings as DecisionSettings;
+use lovagespindle_decisions::dsr::shutdown::{
+    Shutdown,
+    ShutdownSettings, //
+};
 use lovagespindle_decisions::dsr::store_update::StoreUpdate;
 use lovagespindle_platform::packet;
 use tokio::net::UdpSocket;
-use tokio::sync::watch;
+use tokio::sync::{
+    oneshot,
+    watch, //
+};
 
 use crate::dsr::decision_log::DecisionLog;
 use crate::dsr::held_packets::HeldPackets;
@@ -80,7 +87,22 @@
 }
 
 /// Makes the instance report that it is not ready. Packets are still forwarded.
-pub struct StartShutdown;
+pub struct StartShutdown {
+    pub settings: ShutdownSettings,
+    /// Notified when the process may end.
+    pub complete: oneshot::Sender<()>,
+}
+
+/// Reports that a readiness check was answered with "not ready".
+pub struct FailedCheck;
+
+/// A shutdown that is under way.
+struct RunningShutdown {
+    progress: Shutdown,
+    settings: ShutdownSettings,
+    /// `None` once it was notified.
+    complete: Option<oneshot::Sender<()>>,
+}
 
 /// Forwards packets from clients to backend servers, which reply to the clients directly.
 pub struct Forwarder {
@@ -90,7 +112,7 @@
     balancer: Balancer,
     clock: Clock,
     ready: watch::Sender<bool>,
-    shutting_down: bool,
+    shutdown: Option<RunningShutdown>,
     /// Counts of malformed datagrams and of failures to receive and send.
     counts: Counts,
     log: DecisionLog,
@@ -120,7 +142,7 @@
             balancer: Balancer::new(&settings.instance.zone, settings.decisions, arguments.seed),
             clock: arguments.clock,
             ready: arguments.ready,
-            shutting_down: false,
+            shutdown: None,
             counts: Counts::default(),
             log: DecisionLog::new(arguments.latencies),
             self_ref: forwarder.downgrade(),
@@ -138,7 +160,7 @@
         mailbox: &mut MailboxReceiver<Forwarder>,
     ) -> Result<Option<Signal<Forwarder>>, SocketError> {
         loop {
-            let wake = self.clock.instant(self.balancer.deadline());
+            let wake = self.clock.instant(self.deadline());
             tokio::select! {
                 biased;
                 signal = mailbox.recv() => return Ok(signal),
@@ -158,11 +180,34 @@
                 self.balancer.tick(now);
             }
             self.run_actions(now);
+            self.check_shutdown(now);
         }
     }
 }
 
 impl Forwarder {
+    /// Returns the time at which a timer ends.
+    fn deadline(&self) -> Time {
+        let shutdown = self.shutdown.as_ref().filter(|s| s.complete.is_some());
+        let end = shutdown.map(|shutdown| shutdown.progress.deadline(&shutdown.settings));
+        end.map_or(self.balancer.deadline(), |end| {
+            end.min(self.balancer.deadline())
+        })
+    }
+
+    /// Notifies the process that it may end, once the shutdown is complete.
+    fn check_shutdown(&mut self, now: Time) {
+        let Some(shutdown) = &mut self.shutdown else {
+            return;
+        };
+        if shutdown.progress.is_complete(now, &shutdown.settings)
+            && let Some(complete) = shutdown.complete.take()
+        {
+            // Fails only while the process exits.
+            let _ = complete.send(());
+        }
+    }
+
     /// Handles up to [`MAX_BATCH`] received packets. Returns whether the socket is drained.
     fn receive(&mut self) -> bool {
         for _ in 0..MAX_BATCH {
@@ -181,6 +226,9 @@
 
     fn handle(&mut self, length: usize) {
         let now = self.clock.now();
+        if let Some(shutdown) = &mut self.shutdown {
+            shutdown.progress.record_packet(now);
+        }
         match packet::decode(&self.incoming[..length]) {
             Ok(segment) => self.forward(now, &segment, length),
             Err(error) => {
@@ -253,7 +301,7 @@
     }
 
     fn update_readiness(&self) {
-        let ready = self.balancer.is_ready() && !self.shutting_down;
+        let ready = self.balancer.is_ready() && self.shutdown.is_none();
         self.ready.send_if_modified(|current| {
             let changed = *current != ready;
             *current = ready;
@@ -312,12 +360,27 @@
 impl Message<StartShutdown> for Forwarder {
     type Reply = ();
 
-    async fn handle(&mut self, _: StartShutdown, _context: &mut Context<Self, ()>) {
-        self.shutting_down = true;
+    async fn handle(&mut self, start: StartShutdown, _context: &mut Context<Self, ()>) {
+        self.shutdown = Some(RunningShutdown {
+            progress: Shutdown::new(self.clock.now()),
+            settings: start.settings,
+            complete: Some(start.complete),
+        });
         self.update_readiness();
     }
 }
 
+impl Message<FailedCheck> for Forwarder {
+    type Reply = ();
+
+    async fn handle(&mut self, _: FailedCheck, _context: &mut Context<Self, ()>) {
+        if let Some(shutdown) = &mut self.shutdown {
+            shutdown.progress.record_failed_check();
+        }
+        self.check_shutdown(self.clock.now());
+    }
+}
+
 impl Message<GetCounts> for Forwarder {
     type Reply = Result<ForwarderCounts, kameo::error::Infallible>;
 
--- a/daemon/src/dsr/run.rs
+++ b/daemon/src/dsr/run.rs
@@ -23,11 +23,13 @@
 };
 use tokio::sync::{
     mpsc,
+    oneshot,
     watch, //
 };
 
 use crate::dsr::forwarder::{
     Arguments,
+    FailedCheck,
     Forwarder,
     StartShutdown, //
 };
@@ -99,14 +101,15 @@
     let (ready, readiness) = watch::channel(false);
     let listener = TcpListener::bind(settings.listen.readiness).await;
     let listener = listener.map_err(RunError::Readiness)?;
-    tokio::spawn(http::serve(listener, READINESS_PATH, move || {
-        let ready = *readiness.borrow();
-        async move { readiness_page(ready) }
-    }));
     let instruments = Instruments::new(name)?;
     let latencies = instruments.latencies.clone();
     let clock = Clock::start();
     let forwarder = start_forwarder(settings.clone(), clock, ready, latencies.clone()).await?;
+    let checked = forwarder.clone();
+    tokio::spawn(http::serve(listener, READINESS_PATH, move || {
+        let (ready, forwarder) = (*readiness.borrow(), checked.clone());
+        async move { readiness_page(ready, &forwarder).await }
+    }));
     let (publisher, store) = start_sync(&settings, clock, &forwarder, latencies).await?;
     if let Some(address) = settings.listen.metrics {
         // Without metrics, packets are still forwarded.
@@ -138,14 +141,23 @@
         }
     }
     log::info!("event=stopping");
-    // Fails only if the forwarder has already stopped.
-    let _ = forwarder.tell(StartShutdown).await;
-    tokio::time::sleep(reloader.settings.shutdown.linger).await;
+    let (complete, completed) = oneshot::channel();
+    let start = StartShutdown {
+        settings: reloader.settings.shutdown.clone(),
+        complete,
+    };
+    // Both fail only if the forwarder has already stopped.
+    let _ = forwarder.tell(start).await;
+    let _ = completed.await;
     log::info!("event=stop");
     Ok(())
 }
 
-fn readiness_page(ready: bool) -> http::Page {
+async fn readiness_page(ready: bool, forwarder: &ActorRef<Forwarder>) -> http::Page {
+    if !ready {
+        // Fails only if the forwarder has stopped.
+        let _ = forwarder.tell(FailedCheck).await;
+    }
     let status = match ready {
         true => StatusCode::OK,
         false => StatusCode::SERVICE_UNAVAILABLE,
--- a/daemon/src/dsr/settings.rs
+++ b/daemon/src/dsr/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use lovagespindle_decisions::dsr::settings::Settings as DecisionSettings;
+use lovagespindle_decisions::dsr::shutdown::ShutdownSettings;
 use serde::{
     Deserialize,
     Serialize, //
@@ -98,24 +99,6 @@
     pub seeds: Vec<SocketAddrV4>,
 }
 
-/// Settings of the shutdown.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct ShutdownSettings {
-    /// Time for which packets are still forwarded after SIGTERM. The routers need two readiness
-    /// checks, half a second apart, to send packets to other instances.
-    #[serde(with = "humantime_serde")]
-    pub linger: Duration,
-}
-
-impl Default for ShutdownSettings {
-    fn default() -> ShutdownSettings {
-        ShutdownSettings {
-            linger: Duration::from_secs(2),
-        }
-    }
-}
-
 mod defaults {
     use std::time::Duration;
 
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -177,7 +177,8 @@
     time store.gather: millis(0), seconds(2);
     time store.first_pause: millis(1), MINUTE;
     time store.longest_pause: millis(1), MINUTE;
-    time shutdown.linger: millis(0), MINUTE;
+    time shutdown.grace: seconds(1), MINUTE;
+    time shutdown.quiet: millis(10), MINUTE;
     time decisions.shortest_wait: millis(1), MINUTE;
     time decisions.longest_wait: millis(1), MINUTE;
     time decisions.first_retry: millis(10), MINUTE;
--- a/daemon/tests/dsr.rs
+++ b/daemon/tests/dsr.rs
@@ -108,9 +108,27 @@
         fleet.signal(daemon, Signal::TERM);
         fleet.wait_until_ready(daemon, false).await;
         fleet.open(daemon, syn(1)).await;
+        // The routers check twice before they leave the instance out.
+        fleet.wait_until_ready(daemon, false).await;
         assert!(fleet.exits_within(daemon, Duration::from_secs(4)).await);
     }
 
+    /// Guards against packets that reach an ended process, while the routers use all instances of a
+    /// zone because more of them stop.
+    terminated_daemon_runs_while_packets_arrive(13, fleet) => {
+        let daemon = fleet.start_daemon(&[]).await;
+        fleet.wait_until_ready(daemon, true).await;
+        fleet.signal(daemon, Signal::TERM);
+        for _ in 0..2 {
+            fleet.wait_until_ready(daemon, false).await;
+        }
+        for number in 0..25 {
+            fleet.open(daemon, syn(number)).await;
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        assert!(fleet.exits_within(daemon, Duration::from_secs(1)).await);
+    }
+
     /// Guards against changed settings that are not applied, and against invalid ones that stop the
     /// process.
     changed_settings_are_reloaded(8, fleet) => {
--- a/decisions/src/dsr/mod.rs
+++ b/decisions/src/dsr/mod.rs
@@ -22,6 +22,7 @@
 pub mod server_loss;
 pub mod servers;
 pub mod settings;
+pub mod shutdown;
 pub mod store_update;
 mod store_view;
 mod syn;
--- a/decisions/tests/dsr/main.rs
+++ b/decisions/tests/dsr/main.rs
@@ -3,3 +3,4 @@
 mod flows;
 mod rig;
 mod server_loss;
+mod shutdown;
--- a/scenarios/src/dsr/faults.rs
+++ b/scenarios/src/dsr/faults.rs
@@ -2,6 +2,11 @@
 
 use std::time::Duration;
 
+use lovagespindle_decisions::dsr::shutdown::{
+    Shutdown,
+    ShutdownSettings, //
+};
+
 use super::day::Fault;
 use super::machines::{
     MachineKey,
@@ -19,8 +24,8 @@
 
 /// How long the platform takes to start a process that ended.
 const RESTART: Duration = Duration::from_millis(500);
-/// How long a process may take to shut down.
-const SHUTDOWN: Duration = Duration::from_secs(2);
+/// How often it is checked whether a process that was told to stop may end.
+const SHUTDOWN_CHECK: Duration = Duration::from_millis(50);
 /// The time between two steps of a trouble that concerns one thing after the other.
 const STEP: Duration = Duration::from_secs(1);
 /// How long a backend server stays after it began to drain.
@@ -212,9 +217,15 @@
                     return;
                 };
                 if step.is_multiple_of(2) {
-                    self.machines[key.0].leaving = true;
+                    self.machines[key.0].shutdown = Some(Shutdown::new(self.now));
                     self.machines[key.0].disturbed = self.now;
-                    self.send(SHUTDOWN, Event::Step(index, step + 1));
+                    self.send(SHUTDOWN_CHECK, Event::Step(index, step + 1));
+                    return;
+                }
+                let shutdown = self.machines[key.0].shutdown;
+                let settings = ShutdownSettings::default();
+                if shutdown.is_some_and(|shutdown| !shutdown.is_complete(self.now, &settings)) {
+                    self.send(SHUTDOWN_CHECK, Event::Step(index, step));
                     return;
                 }
                 self.stop_machine(key, Some(RESTART));
--- a/scenarios/src/dsr/machines.rs
+++ b/scenarios/src/dsr/machines.rs
@@ -19,6 +19,7 @@
     Segment,
     Target, //
 };
+use lovagespindle_decisions::dsr::shutdown::Shutdown;
 use lovagespindle_decisions::dsr::store_update::StoreUpdate;
 
 use super::clients::{
@@ -68,8 +69,8 @@
     pub(super) state: State,
     /// Left for good.
     pub(super) removed: bool,
-    /// Told to stop; no longer ready.
-    pub(super) leaving: bool,
+    /// Set once it was told to stop; it is no longer ready.
+    pub(super) shutdown: Option<Shutdown>,
     /// Rises with each start.
     pub(super) epoch: u32,
     /// When something was last done to it.
@@ -89,7 +90,7 @@
 
 impl Machine {
     pub(super) fn is_ready(&self) -> bool {
-        !self.leaving
+        self.shutdown.is_none()
             && match &self.mind {
                 Mind::Decisions(balancer) => balancer.is_ready(),
                 Mind::InTurn(mind) => mind.table.is_some(),
@@ -109,7 +110,7 @@
             address,
             state: State::Down,
             removed: false,
-            leaving: false,
+            shutdown: None,
             epoch: 0,
             disturbed: self.now,
             mind: Mind::Omniscient,
@@ -145,7 +146,7 @@
         let now = self.now;
         let machine = &mut self.machines[key.0];
         machine.state = State::Up;
-        machine.leaving = false;
+        machine.shutdown = None;
         machine.epoch += 1;
         machine.disturbed = now;
         machine.mind = mind;
@@ -208,6 +209,9 @@
             return;
         }
         let (now, segment) = (self.now, self.segment(flow, &uplink));
+        if let Some(shutdown) = &mut self.machines[key.0].shutdown {
+            shutdown.record_packet(now);
+        }
         let verdict = match &mut self.machines[key.0].mind {
             Mind::Decisions(balancer) => balancer.packet(now, &segment),
             Mind::InTurn(mind) => mind.packet(now, &segment),
--- a/scenarios/src/dsr/routers.rs
+++ b/scenarios/src/dsr/routers.rs
@@ -28,6 +28,9 @@
         for machine in &mut self.machines {
             let ready = machine.state == State::Up && machine.is_ready();
             machine.misses = if ready { 0 } else { machine.misses + 1 };
+            if let Some(shutdown) = &mut machine.shutdown {
+                shutdown.record_failed_check();
+            }
             if ready {
                 machine.rotated = true;
             } else if machine.misses >= MISSES {
