Probe the servers in the zone of a lost backend server

Cause: when a zone is cut off, each of its servers was found by a client that waited 280 ms, and requests that could be repeated ran out of time at a second server of the same zone.

A server found to be gone now leads to probes of the others of its zone at which flows are open, 16 at most. servers_of_the_same_zone_are_probed names the load.

Most of what still fails lies in the power loss of all instances.

--- a/decisions/src/dsr/flows.rs
+++ b/decisions/src/dsr/flows.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{
+    BTreeSet,
     BinaryHeap,
     HashMap, //
 };
@@ -145,6 +146,15 @@
         all.filter_map(move |(key, flow)| open(flow).then_some(key))
     }
 
+    /// Returns the backend servers at which flows are open, in the order of their keys.
+    pub(super) fn servers_with_open_flows(&self) -> BTreeSet<ServerKey> {
+        let open = |flow: &Flow| match flow.stage {
+            Stage::Open(server) => Some(server),
+            Stage::Opening(_) | Stage::Closed(_) | Stage::Unknown => None,
+        };
+        self.arena.values().filter_map(open).collect()
+    }
+
     /// Adds a flow whose timer ends at `due`.
     pub(super) fn insert(&mut self, flow: Flow, due: Time) -> FlowKey {
         let tuple = flow.tuple;
--- a/decisions/src/dsr/server_loss.rs
+++ b/decisions/src/dsr/server_loss.rs
@@ -52,6 +52,9 @@
 /// sending its last responses.
 const DEPARTURE_GRACE: Duration = Duration::from_millis(500);
 
+/// Maximum number of servers of a zone that are probed because one of them is gone.
+const MAX_ZONE_PROBES: usize = 16;
+
 /// Why a backend server counts as gone.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -196,6 +199,24 @@
             self.log_health(now, probe.server);
         }
         self.reset_flows(probe.server, Evidence::Unanswered);
+        self.probe_zone(now, probe.server);
+    }
+
+    /// Probes other servers of the zone of a server that is gone, because the whole zone may be cut
+    /// off. Only servers at which flows are open are probed.
+    fn probe_zone(&mut self, now: Time, lost: ServerKey) {
+        let Some(zone) = self.view.servers.get(lost).map(|s| s.entry.zone.clone()) else {
+            return;
+        };
+        let open = self.flows.servers_with_open_flows();
+        let near = open.into_iter().filter(|key| {
+            let server = self.view.servers.get(*key);
+            *key != lost && server.is_some_and(|server| server.entry.zone == zone)
+        });
+        let near: SmallVec<[ServerKey; MAX_ZONE_PROBES]> = near.take(MAX_ZONE_PROBES).collect();
+        for key in near {
+            self.probe_server(now, key);
+        }
     }
 
     /// Resets all flows that are open at a backend server that is gone.
--- a/decisions/tests/dsr/rig.rs
+++ b/decisions/tests/dsr/rig.rs
@@ -383,6 +383,35 @@
         servers.len()
     }
 
+    /// Lets the pending probes of single servers fail. Returns their number, and the number of flows
+    /// that were reset since the last call of [`Rig::actions`].
+    pub(crate) fn answer_zone_probes(&mut self, after: Duration) -> (usize, usize) {
+        let started_at = self.now;
+        let before = self.actions();
+        let mut resets = before
+            .iter()
+            .filter(|a| matches!(a, Action::Reset { .. }))
+            .count();
+        self.advance(after);
+        let mut probes = 0;
+        for action in before {
+            if let Action::ProbeServer { server, .. } = action {
+                probes += 1;
+                let answer = ProbeAnswer::Silent;
+                self.balancer.record_server_probe(
+                    self.now,
+                    ServerProbe {
+                        server,
+                        started_at,
+                        answer,
+                    },
+                );
+            }
+        }
+        resets += self.resets().len();
+        (probes, resets)
+    }
+
     /// Returns the flows that were reset without a packet of theirs, with the sequence numbers.
     pub(crate) fn resets(&mut self) -> Vec<(FlowTuple, u32)> {
         let actions = self.actions();
--- a/decisions/tests/dsr/server_loss.rs
+++ b/decisions/tests/dsr/server_loss.rs
@@ -106,6 +106,20 @@
         assert_eq!(rig.resets(), []);
     }
 
+    /// Guards against a zone that is cut off and whose servers are found one by one, each by a client
+    /// that waits.
+    servers_of_the_same_zone_are_probed => {
+        let mut rig = Rig::new();
+        rig.serve_only(&[(1, "b"), (2, "b"), (3, "b"), (4, "b")]);
+        let flows: Vec<_> = (0..8).map(|_| rig.open_long_flow()).collect();
+        rig.advance(ms(300));
+        let (first, target) = flows[0];
+        retransmit(&mut rig, first, target.tag);
+        assert_eq!(rig.answer_server_probes(ms(80), ProbeAnswer::Silent), 1);
+        let reset = rig.answer_zone_probes(ms(80));
+        assert_eq!(reset, (3, 8));
+    }
+
     /// Guards against evidence that is used for longer than it holds: a cut ends.
     evidence_expires => {
         let mut rig = Rig::new();
