--- a/daemon/src/dsr/decision_log.rs
+++ b/daemon/src/dsr/decision_log.rs
@@ -1,5 +1,7 @@
 //! Writes decisions and lost packets to the log, each as one line of `key=value` pairs.
 
+use std::collections::BTreeMap;
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -18,6 +20,48 @@
 /// flows a second. Lines about changes of state are always written.
 const MAX_FLOW_LINES: u32 = 400;
 
+/// Maximum number of lines about registrations that one update causes.
+const MAX_REGISTRATION_LINES: usize = 32;
+
+/// Numbers of registrations by state.
+#[derive(Debug, Default)]
+struct Registrations {
+    states: BTreeMap<&'static str, usize>,
+    /// The latest revision among them.
+    revision: u64,
+}
+
+impl Registrations {
+    fn count(decisions: &[Decision]) -> Registrations {
+        let mut counts = Registrations::default();
+        for decision in decisions {
+            if let Decision::Registration {
+                registration,
+                revision,
+                ..
+            } = decision
+            {
+                *counts.states.entry(registration).or_default() += 1;
+                counts.revision = counts.revision.max(revision.0);
+            }
+        }
+        counts
+    }
+
+    fn total(&self) -> usize {
+        self.states.values().sum()
+    }
+}
+
+impl fmt::Display for Registrations {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (state, count) in &self.states {
+            write!(f, "{state}={count} ")?;
+        }
+        write!(f, "revision={}", self.revision)
+    }
+}
+
 /// Writes decisions and lost packets, at most [`MAX_FLOW_LINES`] lines per second about flows and
 /// packets.
 pub struct DecisionLog {
@@ -46,9 +90,19 @@
         &self.counts
     }
 
-    /// Logs the decisions made at `now`.
+    /// Logs the decisions made at `now`. If they include many registrations, as in the first snapshot
+    /// of a large fleet, these are summed up in one line.
     pub fn write(&mut self, now: Time, decisions: impl Iterator<Item = Decision>) {
+        let decisions: Vec<Decision> = decisions.collect();
+        let summary = Registrations::count(&decisions);
+        let summed_up = summary.total() > MAX_REGISTRATION_LINES;
+        if summed_up {
+            log::info!("event=listings {summary}");
+        }
         for decision in decisions {
+            if summed_up && matches!(decision, Decision::Registration { .. }) {
+                continue;
+            }
             if let Decision::Established { after, .. } = &decision {
                 self.latencies.record_handshake(*after);
             }
--- a/daemon/src/dsr/forwarder.rs
+++ b/daemon/src/dsr/forwarder.rs
@@ -212,7 +212,13 @@
     fn receive(&mut self) -> bool {
         for _ in 0..MAX_BATCH {
             match self.socket.try_recv(&mut self.incoming) {
-                Ok(length) => self.handle(length),
+                Ok(length) => {
+                    let now = self.clock.now();
+                    if let Some(shutdown) = &mut self.shutdown {
+                        shutdown.progress.record_packet(now);
+                    }
+                    self.handle(now, now, length);
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return true,
                 // The destination refused an earlier datagram; no received packet is lost.
                 Err(error) => {
@@ -224,13 +230,10 @@
         false
     }
 
-    fn handle(&mut self, length: usize) {
-        let now = self.clock.now();
-        if let Some(shutdown) = &mut self.shutdown {
-            shutdown.progress.record_packet(now);
-        }
+    /// Handles the first `length` bytes of the buffer, a packet that arrived at `arrived_at`.
+    fn handle(&mut self, now: Time, arrived_at: Time, length: usize) {
         match packet::decode(&self.incoming[..length]) {
-            Ok(segment) => self.forward(now, &segment, length),
+            Ok(segment) => self.forward((now, arrived_at), &segment, length),
             Err(error) => {
                 self.counts.add(Count::Malformed);
                 self.log.write_malformed(now, length, &error);
@@ -238,7 +241,7 @@
         }
     }
 
-    fn forward(&mut self, now: Time, segment: &Segment, length: usize) {
+    fn forward(&mut self, (now, arrived_at): (Time, Time), segment: &Segment, length: usize) {
         match self.balancer.packet(now, segment) {
             Verdict::Forward(target) => {
                 let bytes = &self.incoming[..length];
@@ -252,16 +255,16 @@
                 }
             }
             Verdict::Reset { sequence } => self.reset(&segment.flow, sequence),
-            Verdict::Hold => self.held.push(now, &self.incoming[..length]),
+            Verdict::Hold => self.held.push(arrived_at, &self.incoming[..length]),
             Verdict::Drop => {}
         }
     }
 
     /// Decides again on the packets that were held.
     fn release_held(&mut self, now: Time) {
-        while let Some(packet) = self.held.pop(now) {
+        for (at, packet) in self.held.take(now) {
             self.incoming[..packet.len()].copy_from_slice(&packet);
-            self.handle(packet.len());
+            self.handle(now, at, packet.len());
         }
     }
 
@@ -319,9 +322,7 @@
     async fn handle(&mut self, update: StoreUpdate, _context: &mut Context<Self, ()>) {
         let now = self.clock.now();
         self.balancer.apply_update(now, update);
-        if self.balancer.has_routes() {
-            self.release_held(now);
-        }
+        self.release_held(now);
         self.run_actions(now);
         self.update_readiness();
     }
--- a/daemon/src/dsr/held_packets.rs
+++ b/daemon/src/dsr/held_packets.rs
@@ -18,22 +18,19 @@
 }
 
 impl HeldPackets {
-    /// Holds a packet. If the queue is full, the oldest packet is dropped, because its client is
-    /// closest to its time limit.
-    pub fn push(&mut self, now: Time, packet: &[u8]) {
+    /// Holds a packet that arrived at `at`. If the queue is full, the oldest packet is dropped,
+    /// because its client is closest to its time limit.
+    pub fn push(&mut self, at: Time, packet: &[u8]) {
         if self.packets.len() >= MAX_PACKETS {
             self.packets.pop_front();
         }
-        self.packets.push_back((now, packet.into()));
+        self.packets.push_back((at, packet.into()));
     }
 
-    /// Returns the oldest packet whose client may still wait for it, and drops those before it.
-    pub fn pop(&mut self, now: Time) -> Option<Box<[u8]>> {
-        while let Some((at, packet)) = self.packets.pop_front() {
-            if now.since(at) < TTL {
-                return Some(packet);
-            }
-        }
-        None
+    /// Removes all packets. Returns those whose clients may still wait, with their arrival times.
+    pub fn take(&mut self, now: Time) -> VecDeque<(Time, Box<[u8]>)> {
+        let mut packets = std::mem::take(&mut self.packets);
+        packets.retain(|(at, _)| now.since(*at) < TTL);
+        packets
     }
 }
--- a/daemon/src/dsr/metrics.rs
+++ b/daemon/src/dsr/metrics.rs
@@ -73,6 +73,32 @@
     }
 }
 
+/// The kinds of calls of the store. Their names in snake case are labels of a metric.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum StoreCall {
+    /// The first page of a snapshot.
+    FirstPage,
+    /// A further page of a snapshot.
+    Page,
+    /// The changes of zones before a snapshot.
+    History,
+    /// Changes as they are made.
+    Watch,
+}
+
+/// Counts the calls of the store by kind.
+#[derive(Clone)]
+pub struct StoreCalls(Counter<u64>);
+
+impl StoreCalls {
+    /// Counts a call, whatever its outcome.
+    pub fn add(&self, call: StoreCall) {
+        let kind: &'static str = call.into();
+        self.0.add(1, &[opentelemetry::KeyValue::new("kind", kind)]);
+    }
+}
+
 /// Requests the metrics page.
 pub struct GetPage;
 
@@ -95,6 +121,7 @@
     registry: Registry,
     meter: Meter,
     pub latencies: Latencies,
+    pub store_calls: StoreCalls,
 }
 
 impl Instruments {
@@ -124,6 +151,7 @@
         Ok(Instruments {
             provider,
             registry,
+            store_calls: StoreCalls(meter.u64_counter("lovagespindle_store_calls").build()),
             meter,
             latencies,
         })
--- a/daemon/src/dsr/peer_sync.rs
+++ b/daemon/src/dsr/peer_sync.rs
@@ -1,10 +1,14 @@
-//! Gets updates from other instances: from the leader of the zone, which watches the store for the
-//! others, or from any instance while the store is unreachable.
+//! Gets updates from other instances: from the parent in the zone's tree, or from any instance while
+//! the store is unreachable. Decides whether this instance calls the store.
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use lovagespindle_decisions::dsr::peers::Peer;
+use futures::future::join_all;
+use lovagespindle_decisions::dsr::peers::{
+    Peer,
+    Source, //
+};
 use lovagespindle_decisions::dsr::store_update::Revision;
 use lovagespindle_instances::sync::{
     Query,
@@ -25,7 +29,11 @@
     timeout, //
 };
 
-use crate::dsr::publisher::PublisherCommand;
+use crate::dsr::publisher::{
+    Position,
+    PublisherCommand, //
+};
+use crate::dsr::store_watcher::StoreUse;
 
 /// Grace period for the store to answer before updates are requested from another instance. At
 /// startup the store answers within 60 ms.
@@ -44,12 +52,30 @@
 /// arrives within 2 s; 3 s are allowed.
 const MAX_AGE: Duration = Duration::from_millis(1_500);
 
-/// Interval between two checks of which instance is the leader.
-const LEADER_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for which an instance waits for a stale parent, for each instance between the parent and the
+/// store: those nearer to the store replace a source that failed.
+const PATIENCE_PER_HOP: Duration = Duration::from_millis(300);
+
+/// Time for which a parent may have no documents: it may be reading them.
+const EMPTY_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Number of parents that fail one after the other before the instance calls the store itself.
+const MAX_FAILURES: u32 = 2;
+
+/// Age of the documents at which any instance calls the store, whatever its position. Those near the
+/// top of the tree do so earlier.
+const LAST_RESORT_AGE: Duration = Duration::from_secs(6);
+
+/// Interval between two checks of the position in the tree.
+const POSITION_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Interval between two exchanges of known peers.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Time between the two exchanges with the seeds at the start. Instances that start together do so
+/// within 0.3 s, so the second exchange finds all of them.
+const SETTLE_TIME: Duration = Duration::from_millis(400);
+
 /// Retry delay after an instance did not reply.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -68,17 +94,27 @@
     Empty,
 }
 
+/// The state of an instance's updates as its reply shows it.
+#[derive(Clone, Copy, Debug)]
+struct PeerState {
+    /// Time since the store confirmed its documents, or `None` if it has none.
+    age: Option<Duration>,
+    hops: u32,
+}
+
 /// Gets updates from other instances and keeps the list of known peers up to date.
 pub struct PeerSync {
     me: Peer,
     seeds: Vec<SocketAddrV4>,
     publisher: mpsc::Sender<PublisherCommand>,
     known: watch::Receiver<Option<Revision>>,
-    /// Set to whether this instance watches the store for its zone.
-    is_leader: watch::Sender<bool>,
+    /// Set to what this instance calls the store for.
+    store_use: watch::Sender<StoreUse>,
     /// Whether the store is reachable.
     store: watch::Receiver<bool>,
     last_refresh: Instant,
+    /// Parents that failed one after the other.
+    failures: u32,
 }
 
 impl PeerSync {
@@ -88,7 +124,7 @@
         seeds: Vec<SocketAddrV4>,
         publisher: mpsc::Sender<PublisherCommand>,
         known: watch::Receiver<Option<Revision>>,
-        is_leader: watch::Sender<bool>,
+        store_use: watch::Sender<StoreUse>,
         store: watch::Receiver<bool>,
     ) -> PeerSync {
         PeerSync {
@@ -96,44 +132,76 @@
             seeds,
             publisher,
             known,
-            is_leader,
+            store_use,
             store,
             last_refresh: Instant::now(),
+            failures: 0,
         }
     }
 
     /// Runs until the publisher has stopped.
     pub async fn run(mut self) {
-        for seed in self.seeds.clone() {
-            self.exchange_peers(seed).await;
+        self.exchange_with_seeds().await;
+        if timeout(STORE_GRACE, self.store.wait_for(|reachable| *reachable))
+            .await
+            .is_err()
+        {
+            self.sync_without_store().await;
         }
-        while !self.publisher.is_closed() {
-            // Returns early when the store becomes unreachable.
-            let lost = timeout(LEADER_INTERVAL, self.store.wait_for(|reachable| !reachable)).await;
-            if lost.map(drop).is_ok() {
-                sleep(STORE_GRACE).await;
-                self.sync_without_store().await;
-            } else if let Some(leader) = self.query_publisher(PublisherCommand::GetLeader).await {
-                self.use_leader(leader).await;
-            } else {
-                self.refresh().await;
+        sleep(SETTLE_TIME).await;
+        self.exchange_with_seeds().await;
+        while let Some(position) = self.position().await {
+            match position.source {
+                Source::Store => {
+                    self.use_store("first in the zone").await;
+                    self.watch_store().await;
+                }
+                Source::Peer(parent) => self.follow(parent).await,
             }
         }
     }
 
+    async fn exchange_with_seeds(&self) {
+        join_all(self.seeds.iter().map(|seed| self.exchange_peers(*seed))).await;
+    }
+
+    /// Lets this instance watch the store. Logs the reason if it did not do so before.
+    async fn use_store(&mut self, reason: &str) {
+        self.failures = 0;
+        if self.store_use.send_replace(StoreUse::Watch) != StoreUse::Watch {
+            log::info!("event=store_used reason={reason:?}");
+        }
+        self.send_command(PublisherCommand::SetHops(0)).await;
+    }
+
+    /// Waits while this instance watches the store. Returns when it is time to check the position
+    /// again. While the store is unreachable, gets updates from other instances.
+    async fn watch_store(&mut self) {
+        let lost = timeout(
+            POSITION_INTERVAL,
+            self.store.wait_for(|reachable| !reachable),
+        );
+        if lost.await.map(drop).is_ok() {
+            sleep(STORE_GRACE).await;
+            self.sync_without_store().await;
+        } else {
+            self.refresh().await;
+        }
+    }
+
     /// Exchanges known peers with one instance if [`REFRESH_INTERVAL`] has passed.
     async fn refresh(&mut self) {
         if self.last_refresh.elapsed() < REFRESH_INTERVAL {
             return;
         }
         self.last_refresh = Instant::now();
-        if let Some(address) = self.query_publisher(PublisherCommand::PickPeer).await {
+        if let Some(address) = self.pick_peer().await {
             self.exchange_peers(address).await;
         }
     }
 
     /// Exchanges known peers with an instance, without an update.
-    async fn exchange_peers(&mut self, address: SocketAddrV4) {
+    async fn exchange_peers(&self, address: SocketAddrV4) {
         let exchange = async {
             let mut client = SyncClient::connect(address, TIMEOUT).await?;
             self.request(&mut client, Query::Peers, Duration::ZERO)
@@ -144,38 +212,68 @@
         }
     }
 
-    /// Gets updates from the leader until it changes, is stale or fails. Then this instance watches
-    /// the store itself.
-    async fn use_leader(&mut self, leader: SocketAddrV4) {
-        let synced = self.sync_with_leader(leader).await;
-        self.is_leader.send_replace(true);
-        if let Err(error) = synced {
-            self.report_failure(leader, &error).await;
+    /// Gets updates from the parent until it changes, is stale or fails. Then another instance takes
+    /// its place; the store is called only if that does not help.
+    async fn follow(&mut self, parent: SocketAddrV4) {
+        let Err(error) = self.sync_with_parent(parent).await else {
+            return;
+        };
+        match &error {
+            PeerError::Sync(_) => {
+                self.failures += 1;
+                self.report_failure(parent, &error).await;
+            }
+            PeerError::Stale(_) | PeerError::Empty => self.report_stale(parent, &error).await,
+        }
+        let Some(position) = self.position().await else {
+            return;
+        };
+        let age = position.age.unwrap_or(Duration::MAX);
+        let stale = !matches!(error, PeerError::Sync(_));
+        if self.failures >= MAX_FAILURES {
+            self.use_store("parents failed").await;
+        } else if stale && (position.is_candidate || age >= LAST_RESORT_AGE) {
+            self.use_store("parent is stale").await;
         }
     }
 
-    async fn sync_with_leader(&mut self, leader: SocketAddrV4) -> Result<(), PeerError> {
-        let mut client = SyncClient::connect(leader, TIMEOUT).await?;
-        while self.query_publisher(PublisherCommand::GetLeader).await == Some(leader) {
-            let age = self
-                .request_update(&mut client)
-                .await?
-                .ok_or(PeerError::Empty)?;
-            if age > MAX_AGE {
-                return Err(PeerError::Stale(age));
-            }
-            if self.is_leader.send_replace(false) {
-                log::info!("event=leader_followed peer={leader}");
+    async fn sync_with_parent(&mut self, parent: SocketAddrV4) -> Result<(), PeerError> {
+        let mut client = SyncClient::connect(parent, TIMEOUT).await?;
+        let mut stale_since = None;
+        while let Some(position) = self.position().await
+            && position.source == Source::Peer(parent)
+        {
+            let state = self.request_update(&mut client, &position).await?;
+            let (limit, patience) = match state.age {
+                Some(_) => (MAX_AGE, PATIENCE_PER_HOP * state.hops),
+                None => (Duration::ZERO, EMPTY_PATIENCE),
+            };
+            if state.age.is_some_and(|age| age <= limit) {
+                stale_since = None;
+                self.confirm_parent(parent, state.hops).await;
+            } else if stale_since.get_or_insert_with(Instant::now).elapsed() >= patience {
+                return Err(state.age.map_or(PeerError::Empty, PeerError::Stale));
             }
             self.refresh().await;
         }
         Ok(())
     }
 
+    /// Records that the parent has recent updates, so that this instance need not call the store.
+    async fn confirm_parent(&mut self, parent: SocketAddrV4, hops: u32) {
+        self.failures = 0;
+        if self.store_use.send_replace(StoreUse::None) != StoreUse::None {
+            log::info!("event=leader_followed peer={parent} hops={hops}");
+            self.send_command(PublisherCommand::PeerAnswered(parent))
+                .await;
+        }
+        self.send_command(PublisherCommand::SetHops(hops + 1)).await;
+    }
+
     /// Gets updates from other instances while the store is unreachable.
     async fn sync_without_store(&mut self) {
         while !*self.store.borrow() && !self.publisher.is_closed() {
-            let Some(address) = self.query_publisher(PublisherCommand::PickPeer).await else {
+            let Some(address) = self.pick_peer().await else {
                 sleep(RETRY_DELAY).await;
                 continue;
             };
@@ -187,12 +285,7 @@
                 }
                 Err(error @ (PeerError::Empty | PeerError::Stale(_))) => {
                     let empty = matches!(error, PeerError::Empty);
-                    log::info!(
-                        "event=peer_stale peer={address} reason={:?}",
-                        error.to_string()
-                    );
-                    self.send_command(PublisherCommand::PeerStale(address))
-                        .await;
+                    self.report_stale(address, &error).await;
                     sleep(if empty { RETRY_DELAY } else { STALE_DELAY }).await;
                 }
             }
@@ -205,20 +298,33 @@
         let mut client = SyncClient::connect(address, TIMEOUT).await?;
         log::info!("event=peer_followed peer={address}");
         while !*self.store.borrow() {
-            let age = self.request_update(&mut client).await?;
-            let age = age.ok_or(PeerError::Empty)?;
+            let Some(position) = self.position().await else {
+                return Ok(());
+            };
+            let state = self.request_update(&mut client, &position).await?;
+            let age = state.age.ok_or(PeerError::Empty)?;
             if age > MAX_AGE {
                 return Err(PeerError::Stale(age));
             }
+            self.send_command(PublisherCommand::SetHops(state.hops + 1))
+                .await;
         }
         Ok(())
     }
 
-    /// Requests an update since the known revision. Returns the age of the other instance's last
-    /// confirmation by the store, or `None` if it has no documents.
-    async fn request_update(&self, client: &mut SyncClient) -> Result<Option<Duration>, SyncError> {
+    /// Requests an update since the known revision.
+    async fn request_update(
+        &self,
+        client: &mut SyncClient,
+        position: &Position,
+    ) -> Result<PeerState, SyncError> {
         let known = self.known.borrow().unwrap_or_default();
-        self.request(client, Query::Since(known), MAX_WAIT).await
+        let request = Request {
+            age: position.age,
+            digest: position.digest,
+            ..self.new_request(Query::Since(known), MAX_WAIT)
+        };
+        self.call(client, &request).await
     }
 
     async fn request(
@@ -226,20 +332,38 @@
         client: &mut SyncClient,
         query: Query,
         max_wait: Duration,
-    ) -> Result<Option<Duration>, SyncError> {
-        let request = Request {
+    ) -> Result<PeerState, SyncError> {
+        self.call(client, &self.new_request(query, max_wait)).await
+    }
+
+    fn new_request(&self, query: Query, max_wait: Duration) -> Request {
+        Request {
             query,
             max_wait,
             sender: self.me.clone(),
+            age: None,
+            digest: 0,
+        }
+    }
+
+    async fn call(
+        &self,
+        client: &mut SyncClient,
+        request: &Request,
+    ) -> Result<PeerState, SyncError> {
+        let reply = client.call(request).await?;
+        if !reply.peers.is_empty() {
+            self.send_command(PublisherCommand::AddPeers(reply.peers))
+                .await;
+        }
+        let state = PeerState {
+            age: reply.update.as_ref().map(|update| update.age),
+            hops: reply.hops,
         };
-        let reply = client.call(&request).await?;
-        self.send_command(PublisherCommand::AddPeers(reply.peers))
-            .await;
-        let age = reply.update.as_ref().map(|update| update.age);
         if let Some(update) = reply.update {
             self.send_command(PublisherCommand::Apply(update)).await;
         }
-        Ok(age)
+        Ok(state)
     }
 
     async fn report_failure(&self, address: SocketAddrV4, error: &PeerError) {
@@ -251,17 +375,37 @@
             .await;
     }
 
-    async fn query_publisher(
+    async fn report_stale(&self, address: SocketAddrV4, error: &PeerError) {
+        log::info!(
+            "event=peer_stale peer={address} reason={:?}",
+            error.to_string()
+        );
+        self.send_command(PublisherCommand::PeerStale(address))
+            .await;
+    }
+
+    /// Returns the position of this instance, or `None` if the publisher has stopped.
+    async fn position(&self) -> Option<Position> {
+        self.query_publisher(PublisherCommand::GetPosition).await
+    }
+
+    async fn pick_peer(&self) -> Option<SocketAddrV4> {
+        self.query_publisher(PublisherCommand::PickPeer)
+            .await
+            .flatten()
+    }
+
+    async fn query_publisher<T>(
         &self,
-        command: impl FnOnce(oneshot::Sender<Option<SocketAddrV4>>) -> PublisherCommand,
-    ) -> Option<SocketAddrV4> {
+        command: impl FnOnce(oneshot::Sender<T>) -> PublisherCommand,
+    ) -> Option<T> {
         let (reply, result) = oneshot::channel();
         self.send_command(command(reply)).await;
-        result.await.ok().flatten()
+        result.await.ok()
     }
 
     /// Sends a command to the publisher. Sending fails only if the publisher has stopped, which
-    /// `run` checks.
+    /// `run` notices by the missing position.
     async fn send_command(&self, command: PublisherCommand) {
         let _ = self.publisher.send(command).await;
     }
--- a/daemon/src/dsr/publisher.rs
+++ b/daemon/src/dsr/publisher.rs
@@ -10,7 +10,8 @@
 use lovagespindle_decisions::dsr::document_cache::DocumentCache;
 use lovagespindle_decisions::dsr::peers::{
     Peer,
-    Peers, //
+    Peers,
+    Source, //
 };
 use lovagespindle_decisions::dsr::store_update::{
     DocumentUpdate,
@@ -39,6 +40,10 @@
 /// Maximum number of pending long polls: one for each connection that the listener accepts.
 const MAX_LONG_POLLS: usize = 512;
 
+/// A long poll is answered when the store confirmed the documents this much later than the requester
+/// knows, so that confirmations pass through the tree at once.
+const MIN_ADVANCE: Duration = Duration::from_millis(300);
+
 /// A command to the publisher.
 pub enum PublisherCommand {
     /// Applies an update from the store or from another instance.
@@ -47,20 +52,40 @@
     AddPeers(Vec<Peer>),
     /// Replaces the instances that the settings name.
     SetSeeds(Vec<SocketAddrV4>),
+    /// Applies the first documents of a snapshot that is still being read.
+    ApplyPart(DocumentUpdate),
+    /// Records that another instance replied.
+    PeerAnswered(SocketAddrV4),
     /// Records that another instance did not reply.
     PeerFailed(SocketAddrV4),
     /// Records that another instance has no recent confirmation by the store.
     PeerStale(SocketAddrV4),
-    /// Returns the leader of the zone, or `None` if that is this instance.
-    GetLeader(oneshot::Sender<Option<SocketAddrV4>>),
+    /// Sets the number of instances between this one and the store.
+    SetHops(u32),
+    /// Returns where this instance gets updates from.
+    GetPosition(oneshot::Sender<Position>),
     /// Returns an instance to get updates from while the store is unreachable.
     PickPeer(oneshot::Sender<Option<SocketAddrV4>>),
 }
 
+/// The position of this instance among those of its zone.
+#[derive(Clone, Copy, Debug)]
+pub struct Position {
+    pub source: Source,
+    /// Whether the instance calls the store if the updates of the others are stale.
+    pub is_candidate: bool,
+    /// Time since the store confirmed the documents, or `None` before that.
+    pub age: Option<Duration>,
+    /// Digest of the known instances of the zone.
+    pub digest: u32,
+}
+
 /// A request of another instance that waits for an update.
 struct LongPoll {
     incoming: IncomingRequest,
     deadline: Time,
+    /// Time at which the store confirmed what the requester knows, if it did.
+    confirmed: Option<Time>,
 }
 
 /// Owns the document cache and the list of known peers.
@@ -74,6 +99,8 @@
     /// Revision up to which the document cache is complete.
     known: watch::Sender<Option<Revision>>,
     long_polls: Vec<LongPoll>,
+    /// Number of instances between this one and the store.
+    hops: u32,
 }
 
 impl Publisher {
@@ -95,6 +122,7 @@
             requests,
             known,
             long_polls: Vec::new(),
+            hops: 0,
         }
     }
 
@@ -119,12 +147,16 @@
         let now = self.clock.now();
         match command {
             PublisherCommand::Apply(update) => self.apply(now, update).await,
+            // The cache keeps complete snapshots only, as other instances build on it.
+            PublisherCommand::ApplyPart(update) => self.update_forwarder(update).await,
+            PublisherCommand::SetHops(hops) => self.hops = hops,
+            PublisherCommand::PeerAnswered(address) => self.peers.record_answer(address),
             PublisherCommand::AddPeers(peers) => self.peers.merge(now, &peers),
             PublisherCommand::SetSeeds(seeds) => self.peers.set_seeds(&seeds),
             PublisherCommand::PeerFailed(address) => self.peers.record_failure(now, address),
             PublisherCommand::PeerStale(address) => self.peers.record_stale(now, address),
             // The requester may have stopped waiting.
-            PublisherCommand::GetLeader(reply) => drop(reply.send(self.peers.leader(now))),
+            PublisherCommand::GetPosition(reply) => drop(reply.send(self.position(now))),
             PublisherCommand::PickPeer(reply) => drop(reply.send(self.peers.pick(now))),
         }
     }
@@ -137,18 +169,35 @@
             *current = known;
             changed
         });
+        self.update_forwarder(update).await;
+    }
+
+    async fn update_forwarder(&self, update: DocumentUpdate) {
         // Fails only if the forwarder has stopped, and then the process exits.
         let _ = self.forwarder.tell(decode(update)).await;
     }
 
+    fn position(&self, now: Time) -> Position {
+        Position {
+            source: self.peers.source(now),
+            is_candidate: self.peers.is_candidate(now),
+            age: self.documents.age(now),
+            digest: self.peers.digest(now),
+        }
+    }
+
     fn add_long_poll(&mut self, incoming: IncomingRequest) {
         let now = self.clock.now();
         self.peers
             .merge(now, std::slice::from_ref(&incoming.request.sender));
         if self.long_polls.len() < MAX_LONG_POLLS {
             let wait = incoming.request.max_wait.min(MAX_WAIT);
-            let deadline = now + wait;
-            self.long_polls.push(LongPoll { incoming, deadline });
+            let age = incoming.request.age;
+            self.long_polls.push(LongPoll {
+                incoming,
+                deadline: now + wait,
+                confirmed: age.map(|age| now - age),
+            });
         } else {
             // Dropping the request closes the connection; the peer then tries another instance.
             let peer = incoming.request.sender.address;
@@ -159,10 +208,14 @@
     /// Replies to the requests for which there is an update, and to those past their deadline.
     fn answer_long_polls(&mut self) {
         let now = self.clock.now();
-        let known = self.documents.known();
+        let (known, age) = (self.documents.known(), self.documents.age(now));
+        let confirmed = age.map(|age| now - age);
         let ready = |poll: &mut LongPoll| match poll.incoming.request.query {
             Query::Peers => true,
-            Query::Since(base) => known > Some(base) || now >= poll.deadline,
+            Query::Since(base) => {
+                let later = poll.confirmed.map(|confirmed| confirmed + MIN_ADVANCE);
+                known > Some(base) || confirmed > later || now >= poll.deadline
+            }
         };
         let ready: Vec<_> = self.long_polls.extract_if(.., ready).collect();
         for poll in ready {
@@ -170,9 +223,16 @@
                 Query::Peers => None,
                 Query::Since(base) => self.documents.since(now, base),
             };
+            let request = &poll.incoming.request;
+            let same = self.peers.digest(now) == request.digest;
+            let peers = match same && request.query != Query::Peers {
+                true => Vec::new(),
+                false => self.peers.known(now, &request.sender.zone),
+            };
             let reply = Reply {
                 update,
-                peers: self.peers.known(now),
+                peers,
+                hops: self.hops,
             };
             // The connection may have been closed.
             let _ = poll.incoming.reply.send(reply);
--- a/daemon/src/dsr/run.rs
+++ b/daemon/src/dsr/run.rs
@@ -40,7 +40,8 @@
     Instruments,
     Latencies,
     Metrics,
-    MetricsError, //
+    MetricsError,
+    StoreCalls, //
 };
 use crate::dsr::peer_sync::PeerSync;
 use crate::dsr::publisher::{
@@ -55,7 +56,10 @@
     Settings,
     StoreSettings, //
 };
-use crate::dsr::store_watcher::StoreWatcher;
+use crate::dsr::store_watcher::{
+    StoreUse,
+    StoreWatcher, //
+};
 use crate::run::random;
 
 /// Capacity of the queues between tasks. Updates from the store arrive one at a time.
@@ -103,6 +107,7 @@
     let listener = listener.map_err(RunError::Readiness)?;
     let instruments = Instruments::new(name)?;
     let latencies = instruments.latencies.clone();
+    let calls = instruments.store_calls.clone();
     let clock = Clock::start();
     let forwarder = start_forwarder(settings.clone(), clock, ready, latencies.clone()).await?;
     let checked = forwarder.clone();
@@ -110,7 +115,7 @@
         let (ready, forwarder) = (*readiness.borrow(), checked.clone());
         async move { readiness_page(ready, &forwarder).await }
     }));
-    let (publisher, store) = start_sync(&settings, clock, &forwarder, latencies).await?;
+    let (publisher, store) = start_sync(&settings, clock, &forwarder, (latencies, calls)).await?;
     if let Some(address) = settings.listen.metrics {
         // Without metrics, packets are still forwarded.
         if let Err(error) = serve_metrics(address, instruments, &forwarder).await {
@@ -189,14 +194,14 @@
     settings: &Settings,
     clock: Clock,
     forwarder: &ActorRef<Forwarder>,
-    latencies: Latencies,
+    instruments: (Latencies, StoreCalls),
 ) -> Result<(mpsc::Sender<PublisherCommand>, watch::Sender<StoreSettings>), RunError> {
     let listener = TcpListener::bind(settings.listen.peers).await;
     let listener = listener.map_err(RunError::Peers)?;
     let (commands, received) = mpsc::channel(QUEUE_CAPACITY);
     let (requests, incoming) = mpsc::channel(QUEUE_CAPACITY);
     let (revision, known) = watch::channel(None);
-    let (leadership, is_leader) = watch::channel(true);
+    let (store_use, used) = watch::channel(StoreUse::Start);
     let (connected, reachable) = watch::channel(false);
     let peers = Peers::new(
         settings.listen.peers,
@@ -218,11 +223,12 @@
         latest,
         commands.clone(),
         known.clone(),
-        is_leader,
+        used,
         connected,
-        latencies,
+        instruments,
+        random(),
     );
-    let peer_sync = PeerSync::new(me, seeds, commands.clone(), known, leadership, reachable);
+    let peer_sync = PeerSync::new(me, seeds, commands.clone(), known, store_use, reachable);
     tokio::spawn(sync_link::serve(listener, requests));
     tokio::spawn(publisher.run());
     tokio::spawn(store_watcher.run());
--- a/daemon/src/dsr/store_watcher.rs
+++ b/daemon/src/dsr/store_watcher.rs
@@ -12,6 +12,11 @@
     Store,
     StoreError, //
 };
+use rand_core::{
+    RngCore,
+    SeedableRng, //
+};
+use rand_pcg::Pcg32;
 use tokio::sync::{
     mpsc,
     watch, //
@@ -22,13 +27,29 @@
     timeout, //
 };
 
-use crate::dsr::metrics::Latencies;
+use crate::dsr::metrics::{
+    Latencies,
+    StoreCall,
+    StoreCalls, //
+};
 use crate::dsr::publisher::PublisherCommand;
 use crate::dsr::settings::StoreSettings;
 
 /// Time after which a connection breaks if the store does not acknowledge sent bytes.
 const ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Timeout of reading a page. It exceeds the timeout of other calls, as many instances read pages at
+/// the same time after a common start.
+const PAGE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Number of pages that an instance reads at its start, whatever its place in the zone. They hold
+/// about a thousand backend servers; the rest comes from the parent.
+const START_PAGES: u32 = 2;
+
+/// Time after which the pages of a snapshot are read again from the first one. The store keeps the
+/// changes since then for longer.
+const MAX_SNAPSHOT_TIME: Duration = Duration::from_secs(8);
+
 /// Numbers of revisions before the current one in which a new instance looks for restored zones.
 /// They are tried in order until one lies in the history that the store still keeps. The first
 /// covers two seconds of the highest rate of changes; where changes are rare, only the last one may
@@ -44,7 +65,31 @@
     Timeout(#[from] tokio::time::error::Elapsed),
 }
 
-/// Watches the store while this instance is the leader of its zone.
+/// What an instance calls the store for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StoreUse {
+    /// Reads the first pages, so that the instance serves soon after its start.
+    Start,
+    /// Reads and watches everything.
+    Watch,
+    /// Another instance does it.
+    None,
+}
+
+/// A snapshot that is being read page by page.
+struct Snapshot {
+    documents: Vec<Document>,
+    /// Revision of the first page. The watch starts there, so that no change between the pages is
+    /// missed.
+    at: Revision,
+    /// Key after which the next page begins; `None` after the last page.
+    next: Option<String>,
+    /// Number of pages read so far.
+    pages: u32,
+    started: Instant,
+}
+
+/// Watches the store while this instance is first in its zone, or has no other source.
 pub struct StoreWatcher {
     /// Active settings.
     settings: StoreSettings,
@@ -53,12 +98,16 @@
     publisher: mpsc::Sender<PublisherCommand>,
     /// Revision up to which the document cache is complete, from any source.
     known: watch::Receiver<Option<Revision>>,
-    /// Whether this instance watches the store for its zone.
-    is_leader: watch::Receiver<bool>,
+    /// What this instance calls the store for.
+    store_use: watch::Receiver<StoreUse>,
     /// Set to whether the last call succeeded.
     connected: watch::Sender<bool>,
     /// Whether the store no longer keeps the changes after the known revision.
     compacted: bool,
+    /// The snapshot whose remaining pages are not read yet. A failed call does not drop it.
+    snapshot: Option<Snapshot>,
+    calls: StoreCalls,
+    random: Pcg32,
     /// Delay before the next attempt after a failed call.
     retry_delay: Duration,
     latencies: Latencies,
@@ -70,9 +119,10 @@
         mut latest: watch::Receiver<StoreSettings>,
         publisher: mpsc::Sender<PublisherCommand>,
         known: watch::Receiver<Option<Revision>>,
-        is_leader: watch::Receiver<bool>,
+        store_use: watch::Receiver<StoreUse>,
         connected: watch::Sender<bool>,
-        latencies: Latencies,
+        (latencies, calls): (Latencies, StoreCalls),
+        seed: u64,
     ) -> StoreWatcher {
         let settings = latest.borrow_and_update().clone();
         StoreWatcher {
@@ -81,9 +131,12 @@
             latest,
             publisher,
             known,
-            is_leader,
+            store_use,
             connected,
             compacted: false,
+            snapshot: None,
+            calls,
+            random: Pcg32::seed_from_u64(seed),
             latencies,
         }
     }
@@ -91,8 +144,16 @@
     /// Watches the store until the publisher has stopped.
     pub async fn run(mut self) {
         while !self.publisher.is_closed() {
+            let pending = self.snapshot.as_ref();
+            let read = pending.is_some_and(|snapshot| snapshot.pages >= START_PAGES);
+            let started = read || self.known.borrow().is_some();
+            let used = self.store_use.wait_for(|store_use| match store_use {
+                StoreUse::Start => !started,
+                StoreUse::Watch => true,
+                StoreUse::None => false,
+            });
             // Fails only while the process exits.
-            let _ = self.is_leader.wait_for(|is_leader| *is_leader).await;
+            let _ = used.await;
             self.settings = self.latest.borrow_and_update().clone();
             if let Err(error) = self.watch().await {
                 self.handle_failure(&error).await;
@@ -108,7 +169,9 @@
         } else {
             log::info!("event=store_retry reason={reason:?}");
         }
-        sleep(self.retry_delay).await;
+        // Half of the delay is random, so that instances do not retry together.
+        let random = f64::from(self.random.next_u32()) / f64::from(u32::MAX);
+        sleep(self.retry_delay.mul_f64(0.5 + random)).await;
         self.retry_delay = (self.retry_delay * 2).min(self.settings.longest_pause);
     }
 
@@ -121,11 +184,18 @@
         let mut store = timeout(call_timeout, connecting).await??;
         let known = *self.known.borrow();
         let mut known = match known.filter(|_| !self.compacted) {
-            Some(known) => known,
-            None => self.read_snapshot(&mut store).await?,
+            Some(known) => {
+                self.snapshot = None;
+                known
+            }
+            None => match self.read_snapshot(&mut store).await? {
+                Some(known) => known,
+                None => return Ok(()),
+            },
         };
-        while *self.is_leader.borrow() && !self.latest.has_changed().unwrap_or(false) {
+        while self.is_watching() && !self.latest.has_changed().unwrap_or(false) {
             let wait = self.settings.watch_wait;
+            self.calls.add(StoreCall::Watch);
             let page = timeout(wait + call_timeout, store.watch(known, wait)).await??;
             self.publish(page.documents, page.revision, UpdateKind::Delta(known))
                 .await;
@@ -138,23 +208,91 @@
         Ok(())
     }
 
-    async fn read_snapshot(&mut self, store: &mut Store) -> Result<Revision, WatchError> {
-        let call_timeout = self.settings.answer_timeout;
+    fn is_watching(&self) -> bool {
+        *self.store_use.borrow() == StoreUse::Watch
+    }
+
+    /// Reads a snapshot, or the pages of it that are missing. Returns its revision, or `None` if
+    /// another instance provides the rest.
+    ///
+    /// The first page is published at once: it holds the routes and up to 500 backend servers, with
+    /// which the instance can serve.
+    async fn read_snapshot(&mut self, store: &mut Store) -> Result<Option<Revision>, WatchError> {
+        let expired = |snapshot: &mut Snapshot| snapshot.started.elapsed() >= MAX_SNAPSHOT_TIME;
+        self.snapshot.take_if(expired);
+        if self.snapshot.is_none() {
+            self.read_first_page(store).await?;
+        }
+        loop {
+            let Some(snapshot) = &self.snapshot else {
+                return Ok(None);
+            };
+            let Some(next) = snapshot.next.clone() else {
+                break;
+            };
+            let starting = *self.store_use.borrow() == StoreUse::Start;
+            if !self.is_watching() && !(starting && snapshot.pages < START_PAGES) {
+                return Ok(None);
+            }
+            self.calls.add(StoreCall::Page);
+            let page = timeout(PAGE_TIMEOUT, store.read(Some(&next))).await??;
+            if let Some(snapshot) = &mut self.snapshot {
+                snapshot.documents.extend(page.documents);
+                snapshot.next = page.next;
+                snapshot.pages += 1;
+            }
+        }
+        let Some(snapshot) = self.snapshot.take() else {
+            return Ok(None);
+        };
+        self.publish(snapshot.documents, snapshot.at, UpdateKind::Snapshot)
+            .await;
+        self.compacted = false;
+        Ok(Some(snapshot.at))
+    }
+
+    async fn read_first_page(&mut self, store: &mut Store) -> Result<(), WatchError> {
         let started = Instant::now();
-        let mut page = timeout(call_timeout, store.read(None)).await??;
+        self.calls.add(StoreCall::FirstPage);
+        let page = timeout(PAGE_TIMEOUT, store.read(None)).await??;
         self.latencies.record_store(started.elapsed());
-        // Later pages may be newer. The watch starts at the revision of the first page, so that no
-        // change between the pages is missed.
-        let at = page.revision;
         let mut documents = page.documents;
-        while let Some(next) = page.next {
-            page = timeout(call_timeout, store.read(Some(&next))).await??;
-            documents.append(&mut page.documents);
+        let restored = self.read_restored_zones(store, page.revision).await?;
+        documents.extend(restored);
+        // An instance that serves already keeps its view until the snapshot is complete.
+        if page.next.is_some() && self.known.borrow().is_none() {
+            self.publish_part(documents.clone(), page.revision).await;
         }
-        documents.append(&mut self.read_restored_zones(store, at).await?);
-        self.publish(documents, at, UpdateKind::Snapshot).await;
-        self.compacted = false;
-        Ok(at)
+        self.snapshot = Some(Snapshot {
+            documents,
+            at: page.revision,
+            next: page.next,
+            pages: 1,
+            started,
+        });
+        Ok(())
+    }
+
+    async fn publish_part(&mut self, documents: Vec<Document>, revision: Revision) {
+        self.set_connected(revision);
+        let update = DocumentUpdate {
+            documents,
+            revision,
+            kind: UpdateKind::Part,
+            age: Duration::ZERO,
+        };
+        // Fails only if the publisher has stopped, which `run` checks.
+        let _ = self
+            .publisher
+            .send(PublisherCommand::ApplyPart(update))
+            .await;
+    }
+
+    fn set_connected(&mut self, revision: Revision) {
+        if !self.connected.send_replace(true) {
+            log::info!("event=store_connected revision={}", revision.0);
+        }
+        self.retry_delay = self.settings.first_pause;
     }
 
     /// Reads which zones were restored shortly before `at`, because their backend servers may be
@@ -167,6 +305,7 @@
     ) -> Result<Vec<Document>, WatchError> {
         for back in LOOKBACKS {
             let after = Revision(at.0.saturating_sub(back));
+            self.calls.add(StoreCall::History);
             let call = store.zone_changes(after);
             match timeout(self.settings.answer_timeout, call).await? {
                 Ok(page) => {
@@ -182,10 +321,7 @@
     }
 
     async fn publish(&mut self, documents: Vec<Document>, revision: Revision, kind: UpdateKind) {
-        if !self.connected.send_replace(true) {
-            log::info!("event=store_connected revision={}", revision.0);
-        }
-        self.retry_delay = self.settings.first_pause;
+        self.set_connected(revision);
         let update = DocumentUpdate {
             documents,
             revision,
--- a/decisions/src/dsr/balancer.rs
+++ b/decisions/src/dsr/balancer.rs
@@ -51,7 +51,7 @@
         /// The sequence number of the reset: on an open flow, the one that the client acknowledged.
         sequence: u32,
     },
-    /// Decides again after the first update of the store.
+    /// Decides again after the next update of the store, because the view is not complete yet.
     Hold,
     /// Sends nothing.
     Drop,
@@ -132,11 +132,6 @@
         }
     }
 
-    /// Returns whether an update of the store was applied. Before that, packets are held.
-    pub fn has_routes(&self) -> bool {
-        self.view.table.is_some()
-    }
-
     /// Returns whether the instance can serve clients: it knows routes and is not isolated.
     pub fn is_ready(&self) -> bool {
         self.view.table.is_some() && !self.isolation.is_isolated()
--- a/decisions/src/dsr/document_cache.rs
+++ b/decisions/src/dsr/document_cache.rs
@@ -47,11 +47,12 @@
             .map(|last_confirmed| now.since(last_confirmed))
     }
 
-    /// Applies an update. A delta that starts after the known revision is ignored, because changes
+    /// Applies an update. A part of a snapshot is ignored. A delta that starts after the known revision is ignored, because changes
     /// in between would be lost.
     pub fn apply(&mut self, now: Time, update: &DocumentUpdate) {
         match update.kind {
             UpdateKind::Delta(base) if base > self.revision => return,
+            UpdateKind::Part => return,
             UpdateKind::Delta(_) => self.extend(update),
             UpdateKind::Snapshot if update.revision > self.revision => self.replace(update),
             UpdateKind::Snapshot => {}
--- a/decisions/src/dsr/established.rs
+++ b/decisions/src/dsr/established.rs
@@ -37,6 +37,9 @@
         let Some((server, target)) =
             server.and_then(|key| Some((key, self.view.servers.get(key)?.target)))
         else {
+            if !self.view.is_complete() {
+                return Verdict::Hold;
+            }
             return self.refuse_unknown(now, segment, key, progress.retransmitted);
         };
         if progress.acknowledged {
--- a/decisions/src/dsr/store_update.rs
+++ b/decisions/src/dsr/store_update.rs
@@ -71,6 +71,8 @@
 pub enum UpdateKind {
     /// All contents of the store, and recent removals.
     Snapshot,
+    /// Some contents of the store; the rest follows with a snapshot.
+    Part,
     /// All changes after this revision. An instance that lacks earlier ones cannot apply it.
     Delta(Revision),
 }
--- a/decisions/src/dsr/store_view.rs
+++ b/decisions/src/dsr/store_view.rs
@@ -75,6 +75,11 @@
             .map_or(Duration::ZERO, |table| table.warmup)
     }
 
+    /// Returns whether a complete snapshot was applied.
+    pub(super) fn is_complete(&self) -> bool {
+        self.last_confirmed.is_some()
+    }
+
     /// Returns whether the entries of all live backend servers are in the view: the store has been
     /// available for long enough that those that expired during an outage were written again.
     pub(super) fn is_settled(&self, now: Time, settings: &Settings) -> bool {
@@ -86,6 +91,7 @@
     pub(super) fn apply(&mut self, now: Time, mut update: StoreUpdate, log: &mut Vec<Decision>) {
         match update.kind {
             UpdateKind::Delta(base) if base > self.revision => return,
+            UpdateKind::Part => return self.apply_part(now, update, log),
             UpdateKind::Snapshot if update.revision > self.revision => {
                 update.changes.sort_by_key(|change| change.revision);
                 self.remove_missing(now, &update, log);
@@ -107,6 +113,19 @@
         self.revision = self.revision.max(update.revision);
     }
 
+    /// Applies the first documents of a snapshot, with which the instance can serve until the rest
+    /// arrives. They do not count as confirmed, because the view is not complete.
+    fn apply_part(&mut self, now: Time, update: StoreUpdate, log: &mut Vec<Decision>) {
+        if self.revision > Revision::default() {
+            return;
+        }
+        let mut changes = update.changes;
+        changes.sort_by_key(|change| change.revision);
+        for change in changes {
+            self.change(now, change, log);
+        }
+    }
+
     fn change(&mut self, now: Time, change: Revisioned<Change>, log: &mut Vec<Decision>) {
         let revision = change.revision;
         match change.change {
--- a/decisions/tests/dsr/rig.rs
+++ b/decisions/tests/dsr/rig.rs
@@ -131,16 +131,25 @@
 
     pub(crate) fn serve_only(&mut self, servers: &[(u64, &str)]) {
         self.revision += 1;
+        self.apply_snapshot(servers, UpdateKind::Snapshot);
+    }
+
+    /// Applies the first documents of a snapshot that holds the routes and these backend servers.
+    pub(crate) fn serve_part(&mut self, servers: &[(u64, &str)]) {
+        self.apply_snapshot(servers, UpdateKind::Part);
+    }
+
+    fn apply_snapshot(&mut self, servers: &[(u64, &str)], kind: UpdateKind) {
+        let revision = Revision(self.revision);
         let servers = servers.iter().map(|(number, zone)| {
             Change::Server(format!("s{number}").into(), entry(*number, zone))
         });
         let routes = Change::Routes(table(1, &[SERVICE]));
-        let revision = Revision(self.revision);
         let revisioned = |change| Revisioned { revision, change };
         let update = StoreUpdate {
             changes: servers.chain([routes]).map(revisioned).collect(),
             revision,
-            kind: UpdateKind::Snapshot,
+            kind,
             age: Duration::ZERO,
         };
         self.balancer.apply_update(self.now, update);
@@ -247,6 +256,11 @@
         self.balancer.record_probes(self.now, probed, reached);
     }
 
+    /// Returns the number of flows that have a record.
+    pub(crate) fn flows(&self) -> usize {
+        self.balancer.flows()
+    }
+
     pub(crate) fn is_ready(&self) -> bool {
         self.balancer.is_ready()
     }
@@ -257,6 +271,13 @@
         log.filter(|d| matches!(d, Decision::Health { .. })).count()
     }
 
+    /// Returns how often the health state of a zone changed since the last call.
+    pub(crate) fn zone_changes(&mut self) -> usize {
+        let log = self.balancer.take_log();
+        log.filter(|d| matches!(d, Decision::ZoneHealth { .. }))
+            .count()
+    }
+
     pub(crate) fn next_segment(&mut self) -> Segment {
         self.port += 1;
         let flow = FlowTuple {
--- a/instances/src/error.rs
+++ b/instances/src/error.rs
@@ -30,6 +30,8 @@
     Flows,
     /// Tags of finished requests.
     Finished,
+    /// The documents of a sync reply.
+    Documents,
     /// A configuration record.
     Record,
 }
--- a/instances/src/sync.rs
+++ b/instances/src/sync.rs
@@ -27,9 +27,13 @@
     NewsRequest, //
 };
 
-/// Maximum size of a frame in bytes, without its length prefix. The store has values of up to 1 MB.
+/// Maximum size of a frame in bytes, without its length prefix, and of its documents once they are
+/// decompressed. The store has values of up to 1 MB.
 pub const MAX_FRAME: usize = 8 << 20;
 
+/// Size of the documents of a reply in bytes from which they are compressed.
+const MIN_PACKED: usize = 4 << 10;
+
 /// The query of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Query {
@@ -46,6 +50,11 @@
     /// Maximum time that the receiver may wait for a change before it replies.
     pub max_wait: Duration,
     pub sender: Peer,
+    /// Time since the store confirmed what the sender knows, if it did. The receiver replies as soon
+    /// as it has a later confirmation.
+    pub age: Option<Duration>,
+    /// Digest of the instances of its zone that the sender knows.
+    pub digest: u32,
 }
 
 /// The reply to a request.
@@ -54,8 +63,11 @@
     /// The update. `None` if the request was only for peers, or if the replying instance has no data
     /// of the store.
     pub update: Option<DocumentUpdate>,
-    /// The instances that the replying instance knows, including itself.
+    /// The instances that the replying instance knows, including itself. Empty if the digests are
+    /// equal.
     pub peers: Vec<Peer>,
+    /// Number of instances between the replying one and the store.
+    pub hops: u32,
 }
 
 /// Converts to milliseconds, saturating at `u32::MAX`.
@@ -93,6 +105,8 @@
         peers_only: request.query == Query::Peers,
         wait: millis(request.max_wait),
         sender: Some(encode_peer(&request.sender)),
+        age: request.age.map(millis),
+        digest: request.digest,
     };
     message.encode_to_vec().into()
 }
@@ -112,6 +126,8 @@
         },
         max_wait: duration(message.wait),
         sender: decode_peer(&sender)?,
+        age: message.age.map(duration),
+        digest: message.digest,
     })
 }
 
@@ -125,20 +141,47 @@
         .collect();
     let age = reply.update.as_ref().map(|update| millis(update.age));
     let update = reply.update.unwrap_or_default();
-    let documents = update.documents.into_iter();
+    let documents = update.documents.into_iter().map(encode_document).collect();
+    let (documents, packed) = pack(documents);
     let message = NewsReply {
         at: update.revision.0,
         after: match update.kind {
-            UpdateKind::Snapshot => None,
+            // Parts are not passed on.
+            UpdateKind::Snapshot | UpdateKind::Part => None,
             UpdateKind::Delta(base) => Some(base.0),
         },
-        documents: documents.map(encode_document).collect(),
+        documents,
+        packed,
         age,
         peers,
+        hops: reply.hops,
     };
     message.encode_to_vec().into()
 }
 
+/// Compresses documents if they are worth it. Returns the documents that stay as they are, and the
+/// compressed ones.
+fn pack(documents: Vec<generated::Document>) -> (Vec<generated::Document>, Option<Bytes>) {
+    let list = generated::DocumentList { documents };
+    if list.encoded_len() < MIN_PACKED {
+        return (list.documents, None);
+    }
+    let packed = lz4_flex::compress_prepend_size(&list.encode_to_vec());
+    (Vec::new(), Some(packed.into()))
+}
+
+/// Decompresses documents. Returns an error if they are invalid or larger than [`MAX_FRAME`].
+fn unpack(packed: &[u8]) -> Result<Vec<generated::Document>, FrameError> {
+    let (size, block) = lz4_flex::block::uncompressed_size(packed)
+        .map_err(|_| FrameError::Invalid(Field::Documents))?;
+    if size > MAX_FRAME {
+        return Err(FrameError::TooMany(Field::Documents));
+    }
+    let bytes = lz4_flex::decompress(block, size);
+    let bytes = bytes.map_err(|_| FrameError::Invalid(Field::Documents))?;
+    Ok(generated::DocumentList::decode(bytes.as_slice())?.documents)
+}
+
 fn encode_document(document: Document) -> generated::Document {
     generated::Document {
         key: (*document.key).to_owned(),
@@ -157,7 +200,11 @@
         return Err(FrameError::TooMany(Field::Member));
     }
     let peers = message.peers.iter().map(decode_peer);
-    let documents = message.documents.into_iter().map(|document| Document {
+    let mut documents = message.documents;
+    if let Some(packed) = &message.packed {
+        documents.append(&mut unpack(packed)?);
+    }
+    let documents = documents.into_iter().map(|document| Document {
         key: document.key.into(),
         revision: Revision(document.revision),
         value: document.value,
@@ -174,5 +221,6 @@
     Ok(Reply {
         update,
         peers: peers.collect::<Result<_, _>>()?,
+        hops: message.hops,
     })
 }
--- a/instances/tests/sync.rs
+++ b/instances/tests/sync.rs
@@ -47,6 +47,8 @@
         query,
         max_wait: Duration::from_millis(300),
         sender: peer(),
+        age: Some(Duration::from_millis(70)),
+        digest: 0xf00d,
     }
 }
 
@@ -64,6 +66,7 @@
             age: Duration::from_millis(40),
         }),
         peers: vec![peer()],
+        hops: 2,
     }
 }
 
@@ -82,6 +85,7 @@
     let none = Reply {
         update: None,
         peers: Vec::new(),
+        hops: 0,
     };
     for reply in [
         reply(UpdateKind::Snapshot),
@@ -92,6 +96,34 @@
     }
 }
 
+/// Returns a reply with as many documents as a large fleet has backend servers.
+fn large_reply() -> Reply {
+    let mut reply = reply(UpdateKind::Snapshot);
+    let documents = (0..3_000).map(|number| Document {
+        key: format!("servers/i-{number:010x}").into(),
+        revision: Revision(number),
+        value: Some(
+            format!("{{\"Service\":\"desk\",\"Zone\":\"a\",\"Address\":\"10.0.0.{number}\"}}")
+                .into(),
+        ),
+    });
+    if let Some(update) = &mut reply.update {
+        update.documents = documents.collect();
+    }
+    reply
+}
+
+fn check_large_replies() {
+    let reply = large_reply();
+    let documents = reply.update.iter().flat_map(|update| &update.documents);
+    let size: usize = documents
+        .map(|d| d.value.as_ref().map_or(0, |value| value.len()))
+        .sum();
+    let encoded = encode_reply(reply.clone());
+    assert!(encoded.len() < size / 2, "{} of {size}", encoded.len());
+    assert_eq!(decode_reply(encoded), Ok(reply));
+}
+
 #[tokio::main(flavor = "current_thread")]
 async fn call_twice() {
     let listener = TcpListener::bind("127.0.0.1:0")
@@ -143,6 +175,8 @@
     requests_round_trip => check_requests();
     /// Guards against replies that change when they are encoded and decoded.
     replies_round_trip => check_replies();
+    /// Guards against snapshots that fill the link of a small instance: they are compressed.
+    large_replies_are_compressed => check_large_replies();
     /// Guards against connections that carry only one reply.
     connection_carries_several_requests => call_twice();
     /// Guards against an instance that waits forever for one that does not reply.
--- a/scenarios/src/dsr/machines.rs
+++ b/scenarios/src/dsr/machines.rs
@@ -208,6 +208,11 @@
             self.flows[flow.0].hint = Loss::Instance;
             return;
         }
+        self.decide(key, self.now, flow, uplink);
+    }
+
+    /// Lets an instance decide on a packet that arrived at some time.
+    fn decide(&mut self, key: MachineKey, arrived: Time, flow: FlowKey, uplink: Uplink) {
         let (now, segment) = (self.now, self.segment(flow, &uplink));
         if let Some(shutdown) = &mut self.machines[key.0].shutdown {
             shutdown.record_packet(now);
@@ -222,7 +227,7 @@
                 self.forward(key, flow, uplink, target);
             }
             Verdict::Reset { .. } => self.refuse(key, flow),
-            Verdict::Hold => self.machines[key.0].held.push((now, flow, uplink)),
+            Verdict::Hold => self.machines[key.0].held.push((arrived, flow, uplink)),
             Verdict::Drop => self.flows[flow.0].hint = Loss::Dropped,
         }
         self.act(key);
@@ -313,7 +318,7 @@
         let now = self.now;
         for (at, flow, uplink) in std::mem::take(&mut self.machines[key.0].held) {
             if now.since(at) < HELD {
-                self.machine_packet(key, flow, uplink);
+                self.decide(key, at, flow, uplink);
             }
         }
     }
@@ -323,9 +328,7 @@
         match &mut self.machines[key.0].mind {
             Mind::Decisions(balancer) => {
                 balancer.apply_update(now, news);
-                if balancer.has_routes() {
-                    self.release_held(key);
-                }
+                self.release_held(key);
             }
             Mind::InTurn(mind) => mind.learn(now, news),
             Mind::Omniscient => {}
--- a/scenarios/src/dsr/news.rs
+++ b/scenarios/src/dsr/news.rs
@@ -4,7 +4,10 @@
 use std::time::Duration;
 
 use lovagespindle_decisions::Time;
-use lovagespindle_decisions::dsr::peers::Peer;
+use lovagespindle_decisions::dsr::peers::{
+    Peer,
+    Source, //
+};
 use lovagespindle_decisions::dsr::store_update::{
     DocumentUpdate,
     Revision,
@@ -17,7 +20,8 @@
 use super::machines::{
     Machine,
     MachineKey,
-    State, //
+    State,
+    zone_name, //
 };
 use super::minds::Mind;
 use super::store::StoreState;
@@ -44,12 +48,14 @@
 const ELECTION: Duration = Duration::from_millis(500);
 /// The time between two exchanges of names with another instance.
 const REFRESH: Duration = Duration::from_secs(5);
+/// How much later a confirmation must be to count as news.
+const MIN_ADVANCE: Duration = Duration::from_millis(300);
 /// How much slower the slow store is.
 const SLOWDOWN: u32 = 50;
 
 /// Whom a question goes to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Source {
+pub(super) enum AskedOf {
     Store,
     Machine(MachineKey),
 }
@@ -60,9 +66,11 @@
     from: MachineKey,
     epoch: u32,
     number: u64,
-    to: Source,
+    to: AskedOf,
     /// What is known; nothing asks for everything.
     known: Option<Revision>,
+    /// When the store confirmed that.
+    confirmed: Option<Time>,
     /// Only names of instances are exchanged.
     names: bool,
 }
@@ -101,8 +109,10 @@
         }
     }
 
-    fn ask(&mut self, from: MachineKey, to: Source, known: Option<Revision>, names: bool) {
+    fn ask(&mut self, from: MachineKey, to: AskedOf, known: Option<Revision>, names: bool) {
+        let now = self.now;
         let machine = &mut self.machines[from.0];
+        let confirmed = machine.archive.age(now).map(|age| now - age);
         machine.follow.next += 1;
         let number = machine.follow.next;
         let ask = Ask {
@@ -111,15 +121,16 @@
             number,
             to,
             known,
+            confirmed,
             names,
         };
         let limit = match to {
-            Source::Store => {
+            AskedOf::Store => {
                 machine.follow.store = Some(number);
                 self.measure.store_calls += 1;
                 WATCH + PATIENCE
             }
-            Source::Machine(_) => {
+            AskedOf::Machine(_) => {
                 if !names {
                     machine.follow.peer = Some(number);
                 }
@@ -134,13 +145,13 @@
     }
 
     /// Returns the delay of a question or its answer.
-    fn way(&mut self, from: MachineKey, to: Source) -> Option<Duration> {
+    fn way(&mut self, from: MachineKey, to: AskedOf) -> Option<Duration> {
         match to {
-            Source::Store => (!self.network.no_store.contains(&from)).then(|| {
+            AskedOf::Store => (!self.network.no_store.contains(&from)).then(|| {
                 let slow = self.store.state == StoreState::Slow;
                 self.site.store / 2 * if slow { SLOWDOWN } else { 1 }
             }),
-            Source::Machine(to) => {
+            AskedOf::Machine(to) => {
                 let (from, to) = (self.machines[from.0].zone, self.machines[to.0].zone);
                 // Connections repeat what is lost.
                 let open = self.is_open(from, to);
@@ -156,7 +167,7 @@
 
     pub(super) fn asked(&mut self, ask: Ask) {
         match ask.to {
-            Source::Store => match self.store.state {
+            AskedOf::Store => match self.store.state {
                 StoreState::Down => self.reply(ask, Answer::Refused),
                 StoreState::Silent => {}
                 StoreState::Up | StoreState::Slow => {
@@ -168,7 +179,7 @@
                     }
                 }
             },
-            Source::Machine(key) => {
+            AskedOf::Machine(key) => {
                 if !self.takes(key, || Event::Ask(ask)) {
                     return;
                 }
@@ -176,7 +187,8 @@
                 let now = self.now;
                 let machine = &mut self.machines[key.0];
                 machine.peers.merge(now, &[me]);
-                if ask.names || machine.archive.known() > ask.known {
+                let confirmed = machine.archive.age(now).map(|age| now - age);
+                if ask.names || is_news(&ask, machine.archive.known(), confirmed) {
                     self.answer_from_machine(key, ask);
                 } else {
                     machine.follow.waiting.push(ask);
@@ -203,7 +215,8 @@
         let machine = &self.machines[key.0];
         let known = ask.known.unwrap_or_default();
         let bulletin = (!ask.names).then(|| machine.archive.since(now, known));
-        let answer = Answer::News(bulletin.flatten(), machine.peers.known(now));
+        let zone = zone_name(self.machines[ask.from.0].zone);
+        let answer = Answer::News(bulletin.flatten(), machine.peers.known(now, &zone));
         self.reply(ask, answer);
     }
 
@@ -211,13 +224,13 @@
     pub(super) fn due(&mut self, ask: Ask) {
         let same = |other: &Ask| other.from == ask.from && other.number == ask.number;
         match ask.to {
-            Source::Store => {
+            AskedOf::Store => {
                 if let Some(at) = self.store.waiting.iter().position(same) {
                     self.store.waiting.swap_remove(at);
                     self.answer_from_store(ask);
                 }
             }
-            Source::Machine(key) => {
+            AskedOf::Machine(key) => {
                 let up = self.machines[key.0].state == State::Up;
                 let waiting = &mut self.machines[key.0].follow.waiting;
                 if let Some(at) = waiting.iter().position(same)
@@ -264,7 +277,7 @@
             }
             Answer::Compacted => {
                 self.machines[key.0].follow.store = None;
-                self.ask(key, Source::Store, None, false);
+                self.ask(key, AskedOf::Store, None, false);
             }
             Answer::Refused => self.overdue(ask),
         }
@@ -276,7 +289,8 @@
         self.tell_mind(key, decode(bulletin));
         let machine = &mut self.machines[key.0];
         let known = machine.archive.known();
-        let news = |ask: &mut Ask| known > ask.known;
+        let confirmed = machine.archive.age(now).map(|age| now - age);
+        let news = |ask: &mut Ask| is_news(ask, known, confirmed);
         let ready: Vec<Ask> = machine.follow.waiting.extract_if(.., news).collect();
         for ask in ready {
             self.answer_from_machine(key, ask);
@@ -288,27 +302,27 @@
         let key = ask.from;
         let follow = &mut self.machines[key.0].follow;
         match ask.to {
-            Source::Store if follow.store == Some(ask.number) => {
+            AskedOf::Store if follow.store == Some(ask.number) => {
                 follow.store = None;
                 follow.connected = true;
                 follow.pause = PAUSES.0;
                 let pause = if changed { GATHER } else { Duration::ZERO };
                 self.send(pause, Event::Follow(key, ask.epoch));
             }
-            Source::Machine(_) if follow.peer == Some(ask.number) => {
+            AskedOf::Machine(_) if follow.peer == Some(ask.number) => {
                 follow.peer = None;
                 let recent = age.is_some_and(|age| age <= MAX_AGE);
                 follow.served = recent;
                 if !recent && follow.store.is_none() {
                     self.send(Duration::ZERO, Event::Follow(key, ask.epoch));
                 }
-                if !recent && let Source::Machine(other) = ask.to {
+                if !recent && let AskedOf::Machine(other) = ask.to {
                     let (now, address) = (self.now, self.machines[other.0].address);
                     self.machines[key.0].peers.record_stale(now, address);
                 }
                 self.ask_peer(key);
             }
-            Source::Store | Source::Machine(_) => {}
+            AskedOf::Store | AskedOf::Machine(_) => {}
         }
     }
 
@@ -320,16 +334,17 @@
         }
         let machine = &mut self.machines[key.0];
         match ask.to {
-            Source::Store if machine.follow.store == Some(ask.number) => {
+            AskedOf::Store if machine.follow.store == Some(ask.number) => {
                 machine.follow.store = None;
                 machine.follow.connected = false;
                 let pause = machine.follow.pause.max(PAUSES.0);
                 machine.follow.pause = (pause * 2).min(PAUSES.1);
                 self.send(pause, Event::Follow(key, ask.epoch));
             }
-            Source::Machine(other) if ask.names || machine.follow.peer == Some(ask.number) => {
+            AskedOf::Machine(other) if ask.names || machine.follow.peer == Some(ask.number) => {
                 let address = self.machines[other.0].address;
-                let heard = self.machines[key.0].peers.known(now);
+                let zone = zone_name(self.machines[key.0].zone);
+                let heard = self.machines[key.0].peers.known(now, &zone);
                 let answered = ask.names && heard.iter().any(|peer| peer.address == address);
                 if !answered {
                     self.machines[key.0].peers.record_failure(now, address);
@@ -342,7 +357,7 @@
                     self.ask_peer(key);
                 }
             }
-            Source::Store | Source::Machine(_) => {}
+            AskedOf::Store | AskedOf::Machine(_) => {}
         }
     }
 
@@ -356,7 +371,7 @@
             return;
         }
         let known = self.machines[key.0].archive.known();
-        self.ask(key, Source::Store, known, false);
+        self.ask(key, AskedOf::Store, known, false);
     }
 
     /// Looks which instance leads the zone.
@@ -377,10 +392,10 @@
         if machine.follow.peer.is_some() {
             return;
         }
-        let to = match machine.peers.leader(now) {
-            Some(leader) => Some(leader),
-            None if !machine.follow.connected => machine.peers.pick(now),
-            None => None,
+        let to = match machine.peers.source(now) {
+            Source::Peer(parent) => Some(parent),
+            Source::Store if !machine.follow.connected => machine.peers.pick(now),
+            Source::Store => None,
         };
         if to.is_none() && std::mem::replace(&mut machine.follow.served, false) {
             let epoch = machine.epoch;
@@ -389,7 +404,7 @@
         let machine = &self.machines[key.0];
         let known = Some(machine.archive.known().unwrap_or_default());
         if let Some(to) = to.and_then(|to| self.machine_at(to)) {
-            self.ask(key, Source::Machine(to), known, false);
+            self.ask(key, AskedOf::Machine(to), known, false);
         }
     }
 
@@ -409,7 +424,7 @@
     pub(super) fn meet(&mut self, key: MachineKey, others: &[std::net::SocketAddrV4]) {
         for address in others {
             if let Some(other) = self.machine_at(*address).filter(|other| *other != key) {
-                self.ask(key, Source::Machine(other), None, true);
+                self.ask(key, AskedOf::Machine(other), None, true);
             }
         }
     }
@@ -426,6 +441,11 @@
     }
 }
 
+/// Returns whether an instance that knows something has news for another one.
+fn is_news(ask: &Ask, known: Option<Revision>, confirmed: Option<Time>) -> bool {
+    known > ask.known || confirmed > ask.confirmed.map(|confirmed| confirmed + MIN_ADVANCE)
+}
+
 /// Decodes the documents of a bulletin.
 fn decode(bulletin: DocumentUpdate) -> StoreUpdate {
     let changes = bulletin.documents.iter().filter_map(|document| {
