Keep calling the store after a start while it was down

Cause: an instance that started while the store was silent got its documents from another instance, and then waited for its place in the tree without calling the store again.

Ruled out: the retry delays (other zones reached the store within 2 s of its return) and a cycle (hops were finite).

Change: an instance calls the store until it was reached once. Any instance turns to the store when its documents are 2.5 to 3.5 s old, no longer 6 s, as the first four of a zone may all be cut off. Instances that start together contact the seeds at random moments within 0.8 s and join the tree at once.

--- a/daemon/src/dsr/peer_sync.rs
+++ b/daemon/src/dsr/peer_sync.rs
@@ -63,8 +63,11 @@
 const MAX_FAILURES: u32 = 2;
 
 /// Age of the documents at which any instance calls the store, whatever its position. Those near the
-/// top of the tree do so earlier.
-const LAST_RESORT_AGE: Duration = Duration::from_secs(6);
+/// top of the tree do so earlier. A random part of [`LAST_RESORT_SPREAD`] is added.
+const LAST_RESORT_AGE: Duration = Duration::from_millis(2_500);
+
+/// Time over which the instances of a zone turn to the store if all of their updates are stale.
+const LAST_RESORT_SPREAD: Duration = Duration::from_secs(1);
 
 /// Interval between two checks of the position in the tree.
 const POSITION_INTERVAL: Duration = Duration::from_secs(1);
@@ -72,9 +75,13 @@
 /// Interval between two exchanges of known peers.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Longest delay of the first exchange with the seeds. It is drawn at random, so that instances that
+/// start together do not all connect to the seeds at the same moment.
+const MAX_START_DELAY: Duration = Duration::from_millis(800);
+
 /// Time between the two exchanges with the seeds at the start. Instances that start together do so
 /// within 0.3 s, so the second exchange finds all of them.
-const SETTLE_TIME: Duration = Duration::from_millis(400);
+const SETTLE_TIME: Duration = Duration::from_millis(1_200);
 
 /// Retry delay after an instance did not reply.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -113,12 +120,19 @@
     /// Whether the store is reachable.
     store: watch::Receiver<bool>,
     last_refresh: Instant,
+    /// Whether the second exchange with the seeds took place.
+    settled: bool,
+    /// Delay of the first exchange with the seeds, at most [`MAX_START_DELAY`].
+    start_delay: Duration,
+    /// Age of the documents at which this instance calls the store in any case.
+    last_resort: Duration,
     /// Parents that failed one after the other.
     failures: u32,
 }
 
 impl PeerSync {
-    /// Creates a task that sends updates and known peers to the publisher.
+    /// Creates a task that sends updates and known peers to the publisher. `spread` is a random
+    /// number between 0 and 1, by which instances that start or lose their source together differ.
     pub fn new(
         me: Peer,
         seeds: Vec<SocketAddrV4>,
@@ -126,6 +140,7 @@
         known: watch::Receiver<Option<Revision>>,
         store_use: watch::Sender<StoreUse>,
         store: watch::Receiver<bool>,
+        spread: f64,
     ) -> PeerSync {
         PeerSync {
             me,
@@ -135,21 +150,24 @@
             store_use,
             store,
             last_refresh: Instant::now(),
+            settled: false,
+            start_delay: MAX_START_DELAY.mul_f64(spread),
+            last_resort: LAST_RESORT_AGE + LAST_RESORT_SPREAD.mul_f64(spread),
             failures: 0,
         }
     }
 
     /// Runs until the publisher has stopped.
     pub async fn run(mut self) {
-        self.exchange_with_seeds().await;
         if timeout(STORE_GRACE, self.store.wait_for(|reachable| *reachable))
             .await
             .is_err()
         {
             self.sync_without_store().await;
         }
-        sleep(SETTLE_TIME).await;
+        sleep(self.start_delay).await;
         self.exchange_with_seeds().await;
+        self.last_refresh = Instant::now();
         while let Some(position) = self.position().await {
             match position.source {
                 Source::Store => {
@@ -189,12 +207,21 @@
         }
     }
 
-    /// Exchanges known peers with one instance if [`REFRESH_INTERVAL`] has passed.
+    /// Exchanges known peers if it is time: first with the seeds once more, then with one instance
+    /// at a time.
     async fn refresh(&mut self) {
-        if self.last_refresh.elapsed() < REFRESH_INTERVAL {
+        let interval = if self.settled {
+            REFRESH_INTERVAL
+        } else {
+            SETTLE_TIME
+        };
+        if self.last_refresh.elapsed() < interval {
             return;
         }
         self.last_refresh = Instant::now();
+        if !std::mem::replace(&mut self.settled, true) {
+            return self.exchange_with_seeds().await;
+        }
         if let Some(address) = self.pick_peer().await {
             self.exchange_peers(address).await;
         }
@@ -232,7 +259,7 @@
         let stale = !matches!(error, PeerError::Sync(_));
         if self.failures >= MAX_FAILURES {
             self.use_store("parents failed").await;
-        } else if stale && (position.is_candidate || age >= LAST_RESORT_AGE) {
+        } else if stale && (position.is_candidate || age >= self.last_resort) {
             self.use_store("parent is stale").await;
         }
     }
--- a/daemon/src/dsr/run.rs
+++ b/daemon/src/dsr/run.rs
@@ -228,7 +228,17 @@
         instruments,
         random(),
     );
-    let peer_sync = PeerSync::new(me, seeds, commands.clone(), known, store_use, reachable);
+    // The upper 32 bits convert to a float without rounding.
+    let spread = f64::from((random() >> 32) as u32) / f64::from(u32::MAX);
+    let peer_sync = PeerSync::new(
+        me,
+        seeds,
+        commands.clone(),
+        known,
+        store_use,
+        reachable,
+        spread,
+    );
     tokio::spawn(sync_link::serve(listener, requests));
     tokio::spawn(publisher.run());
     tokio::spawn(store_watcher.run());
--- a/daemon/src/dsr/store_watcher.rs
+++ b/daemon/src/dsr/store_watcher.rs
@@ -106,6 +106,8 @@
     compacted: bool,
     /// The snapshot whose remaining pages are not read yet. A failed call does not drop it.
     snapshot: Option<Snapshot>,
+    /// Whether what is needed at the start was read.
+    started: bool,
     calls: StoreCalls,
     random: Pcg32,
     /// Delay before the next attempt after a failed call.
@@ -135,6 +137,7 @@
             connected,
             compacted: false,
             snapshot: None,
+            started: false,
             calls,
             random: Pcg32::seed_from_u64(seed),
             latencies,
@@ -144,9 +147,7 @@
     /// Watches the store until the publisher has stopped.
     pub async fn run(mut self) {
         while !self.publisher.is_closed() {
-            let pending = self.snapshot.as_ref();
-            let read = pending.is_some_and(|snapshot| snapshot.pages >= START_PAGES);
-            let started = read || self.known.borrow().is_some();
+            let started = self.started;
             let used = self.store_use.wait_for(|store_use| match store_use {
                 StoreUse::Start => !started,
                 StoreUse::Watch => true,
@@ -189,23 +190,29 @@
                 known
             }
             None => match self.read_snapshot(&mut store).await? {
-                Some(known) => known,
-                None => return Ok(()),
+                Some(known) if self.is_watching() => known,
+                Some(_) | None => {
+                    self.started = true;
+                    return Ok(());
+                }
             },
         };
-        while self.is_watching() && !self.latest.has_changed().unwrap_or(false) {
+        loop {
             let wait = self.settings.watch_wait;
             self.calls.add(StoreCall::Watch);
             let page = timeout(wait + call_timeout, store.watch(known, wait)).await??;
+            self.started = true;
             self.publish(page.documents, page.revision, UpdateKind::Delta(known))
                 .await;
             let changed = known != page.revision;
             known = page.revision;
+            if !self.is_watching() || self.latest.has_changed().unwrap_or(false) {
+                return Ok(());
+            }
             if changed {
                 sleep(self.settings.gather).await;
             }
         }
-        Ok(())
     }
 
     fn is_watching(&self) -> bool {
@@ -231,7 +238,7 @@
                 break;
             };
             let starting = *self.store_use.borrow() == StoreUse::Start;
-            if !self.is_watching() && !(starting && snapshot.pages < START_PAGES) {
+            if !(self.is_watching() || starting && snapshot.pages < START_PAGES) {
                 return Ok(None);
             }
             self.calls.add(StoreCall::Page);
