--- a/daemon/src/dsr/store_watcher.rs
+++ b/daemon/src/dsr/store_watcher.rs
@@ -177,8 +177,8 @@
     }
 
     /// Reads a snapshot unless the known revision is still usable, then watches for changes.
-    /// Returns when another instance becomes the leader or the settings change. A failed call is an
-    /// error.
+    /// Returns when another instance provides the updates or the settings change, at the earliest
+    /// after one call. A failed call is an error.
     async fn watch(&mut self) -> Result<(), WatchError> {
         let call_timeout = self.settings.answer_timeout;
         let connecting = Store::connect(self.settings.address, ACK_TIMEOUT);
