--- a/scenarios/src/dsr/news.rs
+++ b/scenarios/src/dsr/news.rs
@@ -1,5 +1,6 @@
-//! How instances learn what the store holds: as the daemon's tasks do, one instance of a zone follows
-//! the store, and the others follow that one.
+//! How instances learn what the store holds: as the daemon's tasks do, one instance of a zone watches
+//! the store, and the others get updates from their parents in the zone's tree. Pages of the store,
+//! the wait for seeds and the last resort of the daemon are not modelled.
 
 use std::time::Duration;
 
@@ -55,7 +56,7 @@
 
 /// Whom a question goes to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum AskedOf {
+pub(super) enum Recipient {
     Store,
     Machine(MachineKey),
 }
@@ -66,7 +67,7 @@
     from: MachineKey,
     epoch: u32,
     number: u64,
-    to: AskedOf,
+    to: Recipient,
     /// What is known; nothing asks for everything.
     known: Option<Revision>,
     /// When the store confirmed that.
@@ -109,7 +110,7 @@
         }
     }
 
-    fn ask(&mut self, from: MachineKey, to: AskedOf, known: Option<Revision>, names: bool) {
+    fn ask(&mut self, from: MachineKey, to: Recipient, known: Option<Revision>, names: bool) {
         let now = self.now;
         let machine = &mut self.machines[from.0];
         let confirmed = machine.archive.age(now).map(|age| now - age);
@@ -125,12 +126,12 @@
             names,
         };
         let limit = match to {
-            AskedOf::Store => {
+            Recipient::Store => {
                 machine.follow.store = Some(number);
                 self.measure.store_calls += 1;
                 WATCH + PATIENCE
             }
-            AskedOf::Machine(_) => {
+            Recipient::Machine(_) => {
                 if !names {
                     machine.follow.peer = Some(number);
                 }
@@ -145,13 +146,13 @@
     }
 
     /// Returns the delay of a question or its answer.
-    fn way(&mut self, from: MachineKey, to: AskedOf) -> Option<Duration> {
+    fn way(&mut self, from: MachineKey, to: Recipient) -> Option<Duration> {
         match to {
-            AskedOf::Store => (!self.network.no_store.contains(&from)).then(|| {
+            Recipient::Store => (!self.network.no_store.contains(&from)).then(|| {
                 let slow = self.store.state == StoreState::Slow;
                 self.site.store / 2 * if slow { SLOWDOWN } else { 1 }
             }),
-            AskedOf::Machine(to) => {
+            Recipient::Machine(to) => {
                 let (from, to) = (self.machines[from.0].zone, self.machines[to.0].zone);
                 // Connections repeat what is lost.
                 let open = self.is_open(from, to);
@@ -167,7 +168,7 @@
 
     pub(super) fn asked(&mut self, ask: Ask) {
         match ask.to {
-            AskedOf::Store => match self.store.state {
+            Recipient::Store => match self.store.state {
                 StoreState::Down => self.reply(ask, Answer::Refused),
                 StoreState::Silent => {}
                 StoreState::Up | StoreState::Slow => {
@@ -179,7 +180,7 @@
                     }
                 }
             },
-            AskedOf::Machine(key) => {
+            Recipient::Machine(key) => {
                 if !self.takes(key, || Event::Ask(ask)) {
                     return;
                 }
@@ -224,13 +225,13 @@
     pub(super) fn due(&mut self, ask: Ask) {
         let same = |other: &Ask| other.from == ask.from && other.number == ask.number;
         match ask.to {
-            AskedOf::Store => {
+            Recipient::Store => {
                 if let Some(at) = self.store.waiting.iter().position(same) {
                     self.store.waiting.swap_remove(at);
                     self.answer_from_store(ask);
                 }
             }
-            AskedOf::Machine(key) => {
+            Recipient::Machine(key) => {
                 let up = self.machines[key.0].state == State::Up;
                 let waiting = &mut self.machines[key.0].follow.waiting;
                 if let Some(at) = waiting.iter().position(same)
@@ -277,7 +278,7 @@
             }
             Answer::Compacted => {
                 self.machines[key.0].follow.store = None;
-                self.ask(key, AskedOf::Store, None, false);
+                self.ask(key, Recipient::Store, None, false);
             }
             Answer::Refused => self.overdue(ask),
         }
@@ -302,27 +303,27 @@
         let key = ask.from;
         let follow = &mut self.machines[key.0].follow;
         match ask.to {
-            AskedOf::Store if follow.store == Some(ask.number) => {
+            Recipient::Store if follow.store == Some(ask.number) => {
                 follow.store = None;
                 follow.connected = true;
                 follow.pause = PAUSES.0;
                 let pause = if changed { GATHER } else { Duration::ZERO };
                 self.send(pause, Event::Follow(key, ask.epoch));
             }
-            AskedOf::Machine(_) if follow.peer == Some(ask.number) => {
+            Recipient::Machine(_) if follow.peer == Some(ask.number) => {
                 follow.peer = None;
                 let recent = age.is_some_and(|age| age <= MAX_AGE);
                 follow.served = recent;
                 if !recent && follow.store.is_none() {
                     self.send(Duration::ZERO, Event::Follow(key, ask.epoch));
                 }
-                if !recent && let AskedOf::Machine(other) = ask.to {
+                if !recent && let Recipient::Machine(other) = ask.to {
                     let (now, address) = (self.now, self.machines[other.0].address);
                     self.machines[key.0].peers.record_stale(now, address);
                 }
                 self.ask_peer(key);
             }
-            AskedOf::Store | AskedOf::Machine(_) => {}
+            Recipient::Store | Recipient::Machine(_) => {}
         }
     }
 
@@ -334,14 +335,14 @@
         }
         let machine = &mut self.machines[key.0];
         match ask.to {
-            AskedOf::Store if machine.follow.store == Some(ask.number) => {
+            Recipient::Store if machine.follow.store == Some(ask.number) => {
                 machine.follow.store = None;
                 machine.follow.connected = false;
                 let pause = machine.follow.pause.max(PAUSES.0);
                 machine.follow.pause = (pause * 2).min(PAUSES.1);
                 self.send(pause, Event::Follow(key, ask.epoch));
             }
-            AskedOf::Machine(other) if ask.names || machine.follow.peer == Some(ask.number) => {
+            Recipient::Machine(other) if ask.names || machine.follow.peer == Some(ask.number) => {
                 let address = self.machines[other.0].address;
                 let zone = zone_name(self.machines[key.0].zone);
                 let heard = self.machines[key.0].peers.known(now, &zone);
@@ -357,7 +358,7 @@
                     self.ask_peer(key);
                 }
             }
-            AskedOf::Store | AskedOf::Machine(_) => {}
+            Recipient::Store | Recipient::Machine(_) => {}
         }
     }
 
@@ -371,7 +372,7 @@
             return;
         }
         let known = self.machines[key.0].archive.known();
-        self.ask(key, AskedOf::Store, known, false);
+        self.ask(key, Recipient::Store, known, false);
     }
 
     /// Looks which instance leads the zone.
@@ -404,7 +405,7 @@
         let machine = &self.machines[key.0];
         let known = Some(machine.archive.known().unwrap_or_default());
         if let Some(to) = to.and_then(|to| self.machine_at(to)) {
-            self.ask(key, AskedOf::Machine(to), known, false);
+            self.ask(key, Recipient::Machine(to), known, false);
         }
     }
 
@@ -424,7 +425,7 @@
     pub(super) fn meet(&mut self, key: MachineKey, others: &[std::net::SocketAddrV4]) {
         for address in others {
             if let Some(other) = self.machine_at(*address).filter(|other| *other != key) {
-                self.ask(key, AskedOf::Machine(other), None, true);
+                self.ask(key, Recipient::Machine(other), None, true);
             }
         }
     }
