Do not judge resets of an instance that reaches no backend server

The platform's rule counts a reset only if its sender is in touch, and the link was cut at that moment. The new case failed before and passes now.

--- a/scenarios/src/dsr/rules.rs
+++ b/scenarios/src/dsr/rules.rs
@@ -151,6 +151,7 @@
                 self.servers[server.0].zone,
                 CONTACT,
             )
+            && !self.network.no_servers.contains(&key)
             && self.in_touch(key)
         {
             let tuple = state.tuple;
--- a/scenarios/tests/dsr_days.rs
+++ b/scenarios/tests/dsr_days.rs
@@ -53,6 +53,12 @@
             play(&site, &Day::drawn(&site, seed), seed);
         }
     };
+    /// Guards against a judge that counts resets of an instance that is cut off from all backend
+    /// servers for longer than the time after which others count as undisturbed.
+    instances_cut_off_from_servers_may_reset_flows => {
+        let site = Site::drawn(30_054);
+        play(&site, &Day::drawn(&site, 30_054), 30_054);
+    };
     /// Guards against a single fault, of any kind, that breaks a rule or ends the service.
     each_fault_is_survived => {
         for fault in Fault::iter() {
