Do not judge refusals while all zones of a service are evacuated

No backend server may then be used, and each instance refuses new flows at once, as it should; the emulator's judge counted that as a new route that was not in force. At each of the refusals a trace shows all zones of the service's backend servers as evacuated since 1.0 to 2.6 s.

Ruled out: a stale view (its age was 0.3 to 1.0 s), and servers that count as cold after a return, as no zone had returned.

The judge still counts a refusal if any zone with a backend server of the service is in use, whether that server answers or not.

--- a/scenarios/src/dsr/rules.rs
+++ b/scenarios/src/dsr/rules.rs
@@ -1,5 +1,6 @@
 //! The rules of the platform, judged by what clients and backend servers see.
 
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use lovagespindle_decisions::Time;
@@ -175,7 +176,7 @@
             .iter()
             .skip(classes)
             .any(|r| r.address == address);
-        if known && extra && self.in_touch(key) {
+        if known && extra && self.may_serve(address) && self.in_touch(key) {
             self.breach(Rule::Config, format!("new route {address} was refused"));
         }
     }
@@ -200,6 +201,15 @@
         }
     }
 
+    /// Returns whether a zone with backend servers of the route's service is not evacuated.
+    fn may_serve(&self, address: SocketAddrV4) -> bool {
+        let service = self.operator.service(address);
+        self.servers.iter().any(|server| {
+            let listed = Some(server.service) == service && server.drained.is_none();
+            listed && !self.operator.is_out(server.zone)
+        })
+    }
+
     fn is_calm(&self, key: ServerKey) -> bool {
         let server = &self.servers[key.0];
         server.is_up() && self.now.since(server.disturbed) >= CONTACT
--- a/scenarios/tests/dsr_days.rs
+++ b/scenarios/tests/dsr_days.rs
@@ -59,6 +59,14 @@
         let site = Site::drawn(30_054);
         play(&site, &Day::drawn(&site, 30_054), 30_054);
     };
+    /// Guards against a judge that counts the refusal of a new route while every zone with backend
+    /// servers of its service is evacuated.
+    services_in_evacuated_zones_may_be_refused => {
+        for seed in [25_092, 45_130, 45_145] {
+            let site = Site::drawn(seed);
+            play(&site, &Day::drawn(&site, seed), seed);
+        }
+    };
     /// Guards against a single fault, of any kind, that breaks a rule or ends the service.
     each_fault_is_survived => {
         for fault in Fault::iter() {
