Tell callers how requests on flows that nobody knows end

Cause: when a zone goes out, its owner closes the flows there and sends each caller a reset. A caller between two requests may make the next one on the same flow. The instances of the other zones have no record of it, so that one of them adopts the flow and sends the request to its own backend server, which answers with a reset: unknown flow. The instance then removed the record and told the caller nothing.

Now such a request is retried at the next backend server, or refused, as after a refusal for the same reason; it did not run. If data followed the request, the reset may answer the data, and the outcome is unknown. Other requests on the record get an outcome too.

--- a/daemon/tests/processes.rs
+++ b/daemon/tests/processes.rs
@@ -54,7 +54,6 @@
     no_request_fails_when_servers_are_drained_or_added => check_drain();
     /// Guards against requests that run twice or get no answer when a zone is evacuated and
     /// restored.
-    #[ignore = "known red, see KNOWN-RED.txt"]
     zone_out_and_back_is_truthful => check_evacuation();
     /// Guards against a fleet that stops serving or runs requests twice after a daemon is killed.
     fleet_serves_requests_after_daemon_is_killed => check_kill();
--- a/decisions/src/answers.rs
+++ b/decisions/src/answers.rs
@@ -68,7 +68,7 @@
             PacketKind::Answer => self.on_answer_part(now, key, packet, out),
             PacketKind::Refused => self.on_refused(now, key, id, packet, out),
             PacketKind::Unknown => self.on_unknown(now, key, packet, out),
-            PacketKind::Reset => self.on_reset(now, key, packet, out),
+            PacketKind::Reset => self.on_reset(now, key, id, packet, out),
             _ => self.counters.add(Counter::UnexpectedKinds),
         }
         self.drain_queue(now, id, out);
@@ -114,8 +114,11 @@
                 return None;
             }
             flow.last_seen = now;
-            flow.unanswered_since = None;
-            flow.unanswered = 0;
+            // A reset ends the record, and its handler needs the number.
+            if packet.kind != PacketKind::Reset {
+                flow.unanswered_since = None;
+                flow.unanswered = 0;
+            }
             // A refusal or reset does not show that the backend server knows the flow.
             if packet.kind == PacketKind::Answer {
                 flow.opened = true;
@@ -213,6 +216,19 @@
         if let Some(server) = self.servers.get_mut(id) {
             server.warmup.record_refusal();
         }
+        self.end_refused(now, flow, id, key, packet, out);
+    }
+
+    /// Ends a request that its backend server did not run: retries it, or tells the caller.
+    fn end_refused(
+        &mut self,
+        now: Time,
+        flow: FlowKey,
+        id: BackendServerId,
+        key: RequestKey,
+        packet: Packet,
+        out: &mut Vec<Action>,
+    ) {
         let Some(mut request) = self.requests.get(key).cloned() else {
             return;
         };
@@ -222,16 +238,19 @@
             stored.sends = request.sends;
         }
         self.end_request(key);
-        if matches!(request.progress, Progress::Cancelling { .. }) {
-            return;
-        }
-        let attempt = request.attempt;
-        let possibly_executed = request.sends > 0;
         // The backend server does not know the adopted flow, so another one may serve it. If the
         // request is not retried, the record is removed below, and the caller's next attempt leads
         // to a lookup of the flow's owner.
         let misplaced = packet.reason == Some(Reason::UnknownFlow)
             && self.flows.get(flow).is_some_and(|f| f.adopted);
+        if matches!(request.progress, Progress::Cancelling { .. }) {
+            if misplaced {
+                self.remove_hosted(flow, id, out);
+            }
+            return;
+        }
+        let attempt = request.attempt;
+        let possibly_executed = request.sends > 0;
         // After `hosting.repeat`, the caller may have repeated the request, and that attempt may
         // run at the backend server that serves the flow. A retry could run a non-idempotent
         // request twice, so the caller is sent a refusal instead.
@@ -255,7 +274,7 @@
         let packet = Packet { attempt, ..packet };
         self.refuse(&packet, possibly_executed, reason, out);
         if misplaced {
-            self.remove_hosted(flow, id);
+            self.remove_hosted(flow, id, out);
         }
     }
 
@@ -330,10 +349,12 @@
     }
 
     /// Removes the record of a flow if it still points to this backend server, which does not serve
-    /// the flow.
-    fn remove_hosted(&mut self, flow: FlowKey, id: BackendServerId) {
+    /// the flow. Callers are told how the requests that the record still has ended, because later
+    /// packets of the backend server find no record.
+    fn remove_hosted(&mut self, flow: FlowKey, id: BackendServerId, out: &mut Vec<Action>) {
         let here = self.flows.get(flow).map(|f| f.placement) == Some(Placement::Hosted(id));
         if here {
+            self.report_requests(flow, Reason::OwnerChanged, out);
             self.remove_flow(flow);
         }
     }
@@ -351,14 +372,29 @@
         }
     }
 
-    fn on_reset(&mut self, now: Time, flow: FlowKey, packet: Packet, out: &mut Vec<Action>) {
+    fn on_reset(
+        &mut self,
+        now: Time,
+        flow: FlowKey,
+        id: BackendServerId,
+        packet: Packet,
+        out: &mut Vec<Action>,
+    ) {
         let reason = packet.reason.unwrap_or(Reason::ServerFailed);
-        let adopted = self.flows.get(flow).is_some_and(|f| f.adopted);
-        if adopted && reason == Reason::UnknownFlow {
-            // The flow is served elsewhere. Its next packet starts a lookup of its owner.
-            self.remove_flow(flow);
+        let record = self.flows.get(flow);
+        let adopted = record.is_some_and(|f| f.adopted);
+        // Whether the reset can only answer the request. After further packets, the backend server
+        // may have run the request and lost the flow by a restart.
+        let certain = record.is_some_and(|f| f.unanswered <= 1);
+        if !adopted || reason != Reason::UnknownFlow {
+            self.close_flow(now, flow, reason, out);
             return;
         }
-        self.close_flow(now, flow, reason, out);
+        // The flow may be served elsewhere, so it is not closed. Its next packet starts a lookup of
+        // its owner.
+        match self.find_request(flow, &packet) {
+            Some(key) if certain => self.end_refused(now, flow, id, key, packet, out),
+            _ => self.remove_hosted(flow, id, out),
+        }
     }
 }
--- a/decisions/src/hosting.rs
+++ b/decisions/src/hosting.rs
@@ -447,7 +447,7 @@
         }));
     }
 
-    fn report_requests(&mut self, key: FlowKey, reason: Reason, out: &mut Vec<Action>) {
+    pub(crate) fn report_requests(&mut self, key: FlowKey, reason: Reason, out: &mut Vec<Action>) {
         let head = self.flows.get(key).and_then(|flow| flow.requests);
         let outcomes: smallvec::SmallVec<[(RequestId, u8, bool); 4]> = self
             .requests
