--- a/decisions/tests/unknown_flows.rs
+++ b/decisions/tests/unknown_flows.rs
@@ -77,7 +77,7 @@
         rig.request(0, 2);
         let mut outcomes = told(&rig.reset(server, 0, 1));
         outcomes.sort_by_key(|(_, request)| request.0);
-        let ids: Vec<u64> = outcomes.iter().map(|(_, request)| u64::from(request.0)).collect();
+        let ids: Vec<u64> = outcomes.iter().map(|(_, request)| request.0).collect();
         assert_eq!(ids, [1, 2], "{outcomes:?}");
     };
     /// Guards against "not run" of a request that ran before its backend server restarted: the reset
