Report ready only after a backend server has answered

Cause: an instance that is restarted behind a cut knows nothing of it and was ready with its first documents, until six of its handshakes had timed out and a round of probes had failed; routers sent it flows for up to 2 s, at each restart.

Now it probes two backend servers of its own zone and one of another as soon as it knows some, and is ready when the first answers. Packets that come earlier are forwarded. A round of probes reports its first answer at once, so that dead servers do not delay it.

Ruled out: probing other zones only, which would hold back the instances of a zone that is cut off from the others; counting a refused connection as an answer, as some cuts refuse connections.

The daemon tests' backend servers now accept connections, as the platform's do.

--- a/daemon/src/dsr/prober.rs
+++ b/daemon/src/dsr/prober.rs
@@ -4,9 +4,10 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use futures::future::{
-    join_all,
-    select_all, //
+use futures::future::select_all;
+use futures::stream::{
+    FuturesUnordered,
+    StreamExt, //
 };
 use kameo::actor::WeakActorRef;
 use lovagespindle_decisions::Time;
@@ -44,17 +45,25 @@
 pub struct ProbeResult {
     /// Number of backend servers probed.
     pub attempted: usize,
-    /// Number of backend servers that accepted a connection.
+    /// 1 if any backend server accepted a connection, otherwise 0.
     pub reached: usize,
 }
 
-/// Starts a task that probes all addresses and reports to the forwarder.
+/// Starts a task that probes all addresses and reports to the forwarder, as soon as one of them has
+/// accepted a connection.
 pub fn start(addresses: SmallVec<[SocketAddrV4; 4]>, forwarder: WeakActorRef<Forwarder>) {
     tokio::spawn(async move {
-        let results = join_all(addresses.iter().map(is_reachable)).await;
+        let mut probes: FuturesUnordered<_> = addresses.iter().map(is_reachable).collect();
+        let mut reached = 0;
+        while let Some(accepted) = probes.next().await {
+            if accepted {
+                reached = 1;
+                break;
+            }
+        }
         let outcome = ProbeResult {
-            attempted: results.len(),
-            reached: results.iter().filter(|reached| **reached).count(),
+            attempted: addresses.len(),
+            reached,
         };
         if let Some(forwarder) = forwarder.upgrade() {
             // Fails only if the forwarder has stopped.
--- a/daemon/tests/dsr_fleet/mod.rs
+++ b/daemon/tests/dsr_fleet/mod.rs
@@ -35,6 +35,7 @@
     AsyncWriteExt, //
 };
 use tokio::net::{
+    TcpListener,
     TcpStream,
     UdpSocket, //
 };
@@ -79,6 +80,8 @@
     network: u8,
     daemons: Vec<Daemon>,
     servers: Vec<UdpSocket>,
+    /// Accept the probes of daemons.
+    _listeners: Vec<TcpListener>,
     client: UdpSocket,
 }
 
@@ -97,11 +100,12 @@
     pub(crate) async fn start(network: u8) -> Fleet {
         let store = StoreStandIn::start([127, 78, network, 1]).await.unwrap();
         let client = UdpSocket::bind((Ipv4Addr::new(127, 78, network, 2), PACKET_PORT));
-        let mut servers = Vec::new();
+        let (mut servers, mut listeners) = (Vec::new(), Vec::new());
         for number in 0..2 {
             let host = Ipv4Addr::new(127, 78, network, 10 + number);
             servers.push(UdpSocket::bind((host, 8_080)).await.unwrap());
             let address = SocketAddrV4::new(host, 8_080);
+            listeners.push(TcpListener::bind(address).await.unwrap());
             store.put_server(u64::from(number) + 1, "desk", address, "a");
         }
         store.put_config(1, &[(SERVICE, "desk")]);
@@ -110,6 +114,7 @@
             network,
             daemons: Vec::new(),
             servers,
+            _listeners: listeners,
             client: client.await.unwrap(),
         }
     }
--- a/decisions/src/dsr/balancer.rs
+++ b/decisions/src/dsr/balancer.rs
@@ -131,13 +131,16 @@
         let Balancer { view, log, .. } = self;
         view.apply(now, update, log);
         if self.view.table.is_some() {
+            self.check_start(now);
             self.open_buffered(now);
         }
     }
 
-    /// Returns whether the instance can serve clients: it knows routes and is not isolated.
+    /// Returns whether the instance can serve clients: it knows routes, has reached a backend server
+    /// since its start if it knows any, and is not isolated.
     pub fn is_ready(&self) -> bool {
-        self.view.table.is_some() && !self.isolation.is_isolated()
+        let cut_off = self.isolation.is_isolated() || self.isolation.is_unchecked();
+        self.view.table.is_some() && !cut_off
     }
 
     pub fn counts(&self) -> Counts {
--- a/decisions/tests/dsr/main.rs
+++ b/decisions/tests/dsr/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions for direct server return.
 
 mod flows;
+mod fresh_start;
 mod mass_restart;
 mod rig;
 mod server_loss;
--- a/decisions/tests/dsr/rig.rs
+++ b/decisions/tests/dsr/rig.rs
@@ -106,6 +106,10 @@
     syns: HashMap<u64, u32>,
     last_flow: Option<FlowTuple>,
     probe_rounds: u32,
+    /// Whether backend servers answer the probes that follow the start.
+    reached: bool,
+    /// Actions that were taken to answer these probes.
+    taken: Vec<Action>,
 }
 
 impl Rig {
@@ -121,6 +125,8 @@
             syns: HashMap::new(),
             last_flow: None,
             probe_rounds: 0,
+            reached: true,
+            taken: Vec::new(),
         }
     }
 
@@ -153,6 +159,7 @@
             age: Duration::ZERO,
         };
         self.balancer.apply_update(self.now, update);
+        self.answer_start_check();
     }
 
     /// Serves as [`Rig::serve`] does, with a zone that was restored after its backend servers wrote
@@ -182,6 +189,24 @@
             age: Duration::ZERO,
         };
         self.balancer.apply_update(self.now, update);
+        self.answer_start_check();
+    }
+
+    /// Lets an instance that starts reach no backend server by its probes.
+    pub(crate) fn cut_off(&mut self) {
+        self.reached = false;
+    }
+
+    /// Answers the probes that follow the start.
+    fn answer_start_check(&mut self) {
+        for action in self.balancer.take_actions().collect::<Vec<_>>() {
+            match action {
+                Action::Probe(addresses) if self.reached => {
+                    self.balancer.record_probes(self.now, addresses.len(), 1);
+                }
+                other => self.taken.push(other),
+            }
+        }
     }
 
     pub(crate) fn apply(&mut self, change: Change) {
@@ -239,7 +264,8 @@
     }
 
     pub(crate) fn actions(&mut self) -> Vec<Action> {
-        let actions: Vec<_> = self.balancer.take_actions().collect();
+        let mut actions = std::mem::take(&mut self.taken);
+        actions.extend(self.balancer.take_actions());
         let probes = actions.iter().filter(|a| matches!(a, Action::Probe(_)));
         self.probe_rounds += probes.count() as u32;
         actions
--- a/scenarios/src/dsr/probes.rs
+++ b/scenarios/src/dsr/probes.rs
@@ -36,7 +36,7 @@
 impl World {
     pub(super) fn probe(&mut self, key: MachineKey, addresses: &[SocketAddrV4]) {
         let epoch = self.machines[key.0].epoch;
-        let (mut reached, mut last) = (0, Duration::ZERO);
+        let mut answered: Option<Duration> = None;
         for address in addresses {
             self.measure.probes += 1;
             let up = self
@@ -44,14 +44,15 @@
                 .is_some_and(|s| self.servers[s.0].is_up());
             match self.server_delay(key, zone_at(*address)) {
                 Ok(delay) if up => {
-                    reached += 1;
-                    last = last.max(delay * 2);
+                    let after = delay * 2;
+                    answered = Some(answered.map_or(after, |first| first.min(after)));
                 }
-                _ => last = PROBE,
+                _ => {}
             }
         }
+        let reached = usize::from(answered.is_some());
         let outcome = Event::Probed(key, epoch, addresses.len(), reached);
-        self.send(last, outcome);
+        self.send(answered.unwrap_or(PROBE), outcome);
     }
 
     pub(super) fn probed(&mut self, key: MachineKey, epoch: u32, probed: usize, reached: usize) {
