--- a/decisions/tests/dsr/fresh_start.rs
+++ b/decisions/tests/dsr/fresh_start.rs
@@ -19,11 +19,11 @@
 
 /// Returns the backend servers of the last round of probes, by the last byte of their addresses.
 fn probed(rig: &mut Rig) -> Vec<u8> {
-    let rounds = rig.actions().into_iter().filter_map(|action| match action {
+    let mut rounds = rig.actions().into_iter().filter_map(|action| match action {
         Action::Probe(addresses) => Some(addresses),
         _ => None,
     });
-    let last = rounds.last().unwrap_or_default();
+    let last = rounds.next_back().unwrap_or_default();
     last.iter()
         .map(|address| address.ip().octets()[3])
         .collect()
