Confirm the documents of a new watcher at once

Cause: only_leader_watches_store failed once beside a build, and again in the sixth run of the whole file: 5 calls of the store in 3 s, at most 4 expected. By the two logs, both instances read the documents at 28.640; the first of them became the watcher at 29.274, its first watch waited one second for changes, and at 30.237, 1.596 s after the documents were read, its child took it for stale and turned to the store for two seconds.

A watcher that has documents now begins with a call that does not wait, so that their age is a few milliseconds when the child asks.

Ruled out: load (25 runs of the test alone beside four busy processes did not fail), and two watchers in the zone.

The new test of the watcher failed before and passes now.

--- a/daemon/src/dsr/store_watcher.rs
+++ b/daemon/src/dsr/store_watcher.rs
@@ -184,13 +184,15 @@
         let connecting = Store::connect(self.settings.address, ACK_TIMEOUT);
         let mut store = timeout(call_timeout, connecting).await??;
         let known = *self.known.borrow();
-        let mut known = match known.filter(|_| !self.compacted) {
+        let (mut known, mut wait) = match known.filter(|_| !self.compacted) {
+            // The documents may have been read a while ago. A call that does not wait confirms them
+            // before other instances take them for stale.
             Some(known) => {
                 self.snapshot = None;
-                known
+                (known, Duration::ZERO)
             }
             None => match self.read_snapshot(&mut store).await? {
-                Some(known) if self.is_watching() => known,
+                Some(known) if self.is_watching() => (known, self.settings.watch_wait),
                 Some(_) | None => {
                     self.started = true;
                     return Ok(());
@@ -198,12 +200,12 @@
             },
         };
         loop {
-            let wait = self.settings.watch_wait;
             self.calls.add(StoreCall::Watch);
             let page = timeout(wait + call_timeout, store.watch(known, wait)).await??;
             self.started = true;
             self.publish(page.documents, page.revision, UpdateKind::Delta(known))
                 .await;
+            wait = self.settings.watch_wait;
             let changed = known != page.revision;
             known = page.revision;
             if !self.is_watching() || self.latest.has_changed().unwrap_or(false) {
--- /dev/null
+++ b/daemon/tests/store_watcher.rs
@@ -0,0 +1,116 @@
+//! Tests of the task that watches the platform's store, against the stand-in.
+
+use std::net::SocketAddrV4;
+use std::path::Path;
+use std::time::Duration;
+
+use lovagespindle_daemon::dsr::metrics::Instruments;
+use lovagespindle_daemon::dsr::publisher::PublisherCommand;
+use lovagespindle_daemon::dsr::settings::Settings;
+use lovagespindle_daemon::dsr::store_watcher::{
+    StoreUse,
+    StoreWatcher, //
+};
+use lovagespindle_decisions::dsr::store_update::{
+    Revision,
+    UpdateKind, //
+};
+use lovagespindle_platform_stand_in::StoreStandIn;
+use lovagespindle_stand_ins::cases;
+use tokio::sync::{
+    mpsc,
+    watch, //
+};
+use tokio::time::timeout;
+
+/// Address of the only route.
+const SERVICE: SocketAddrV4 = SocketAddrV4::new(std::net::Ipv4Addr::new(198, 18, 0, 1), 443);
+
+cases! { async
+    /// Guards against children that turn to the store at a start: an instance becomes the watcher of
+    /// its zone up to 0.8 s after it read the documents, and if the store confirms them only when
+    /// its first watch ends, their age is past 1.5 s meanwhile.
+    new_watcher_is_confirmed_at_once => check_known_documents();
+    /// Guards against a second call where the documents were just read.
+    first_read_is_not_confirmed_twice => check_first_read();
+}
+
+async fn check_known_documents() {
+    let store = StoreStandIn::start([127, 78, 101, 1])
+        .await
+        .expect("a store");
+    store.put_config(1, &[(SERVICE, "desk")]);
+    let mut run = Run::start(&store, Some(Revision(1)));
+    let confirmed = run.next_update(Duration::from_millis(500)).await;
+    assert_eq!(confirmed, Some(UpdateKind::Delta(Revision(1))));
+    // The next watch waits for changes.
+    assert_eq!(run.next_update(Duration::from_millis(500)).await, None);
+}
+
+async fn check_first_read() {
+    let store = StoreStandIn::start([127, 78, 102, 1])
+        .await
+        .expect("a store");
+    store.put_config(1, &[(SERVICE, "desk")]);
+    let mut run = Run::start(&store, None);
+    let read = run.next_update(Duration::from_millis(500)).await;
+    assert_eq!(read, Some(UpdateKind::Snapshot));
+    assert_eq!(run.next_update(Duration::from_millis(500)).await, None);
+}
+
+/// A watcher whose instance is first in its zone.
+struct Run {
+    commands: mpsc::Receiver<PublisherCommand>,
+    /// Kept, as the watcher ends when its channels close.
+    _senders: (
+        watch::Sender<Option<Revision>>,
+        watch::Sender<StoreUse>,
+        watch::Receiver<bool>,
+        Instruments,
+    ),
+}
+
+impl Run {
+    /// Starts a watcher whose document cache is complete up to `known`.
+    fn start(store: &StoreStandIn, known: Option<Revision>) -> Run {
+        let text = format!(
+            "[instance]\nname = \"a\"\nzone = \"z\"\n[listen]\nclients = \"127.0.0.1:1\"\n\
+             readiness = \"127.0.0.1:2\"\npeers = \"127.0.0.1:3\"\n[store]\naddress = \"{}\"\n\
+             watch_wait = \"1s\"\n",
+            store.address()
+        );
+        let settings = Settings::parse(&text, Path::new("test.toml")).expect("settings");
+        let instruments = Instruments::new("a").expect("instruments");
+        let (publisher, commands) = mpsc::channel(64);
+        let (_, latest) = watch::channel(settings.store);
+        let (known, known_receiver) = watch::channel(known);
+        let (store_use, used) = watch::channel(StoreUse::Watch);
+        let (connected, connected_receiver) = watch::channel(false);
+        let metrics = (
+            instruments.latencies.clone(),
+            instruments.store_calls.clone(),
+        );
+        let watcher = StoreWatcher::new(
+            latest,
+            publisher,
+            known_receiver,
+            used,
+            connected,
+            metrics,
+            1,
+        );
+        tokio::spawn(watcher.run());
+        Run {
+            commands,
+            _senders: (known, store_use, connected_receiver, instruments),
+        }
+    }
+
+    /// Returns the kind of the next update, if one is published in time.
+    async fn next_update(&mut self, limit: Duration) -> Option<UpdateKind> {
+        match timeout(limit, self.commands.recv()).await.ok()?? {
+            PublisherCommand::Apply(update) => Some(update.kind),
+            _ => None,
+        }
+    }
+}
