--- a/decisions/src/lib.rs
+++ b/decisions/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod action;
 mod answers;
+mod closing;
 pub mod config;
 mod config_affected;
 mod config_apply;
