--- a/scenarios/examples/days.rs
+++ b/scenarios/examples/days.rs
@@ -178,6 +178,11 @@
             println!("| {} | {name} | {served:.4} | {median} | {p99} |", day.name);
         }
     }
+    println!("\n| day | busiest backend server over the mean, by windows of 2 s |\n|---|---|");
+    for (day, report) in &reports {
+        let ratios: Vec<String> = report.balance.iter().map(|r| format!("{r:.1}")).collect();
+        println!("| {} | {} |", day.name, ratios.join(" "));
+    }
     println!("\n| day | served by zone of clients | imbalance |\n|---|---|---:|");
     for (day, report) in &reports {
         let zones: Vec<String> = report
--- a/scenarios/src/dsr/measure.rs
+++ b/scenarios/src/dsr/measure.rs
@@ -1,11 +1,13 @@
 //! What was served, and what was lost to which cause.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use lovagespindle_decisions::Time;
 
 use super::site::Site;
 use super::world::{
+    Event,
     LEAD,
     World, //
 };
@@ -71,6 +73,8 @@
     pub(super) store_calls: u64,
     pub(super) peer_calls: u64,
     pub(super) probes: u64,
+    /// The busiest backend server over the mean, by windows.
+    balance: Vec<f64>,
 }
 
 /// What a day came to for a class of requests.
@@ -107,6 +111,10 @@
     pub zones: Vec<f64>,
     /// The most flows that a backend server took over the mean of its service, where that is worst.
     pub imbalance: f64,
+    /// The most requests that came to a backend server of the first service over their mean, in each
+    /// window of two seconds, among those that may be used. Requests on flows that clients keep
+    /// count at each turn.
+    pub balance: Vec<f64>,
     /// Requests that were not answered, by cause.
     pub losses: BTreeMap<Loss, u64>,
     /// Handshakes of backend servers.
@@ -138,6 +146,7 @@
             store_calls: 0,
             peer_calls: 0,
             probes: 0,
+            balance: Vec::new(),
         }
     }
 
@@ -236,6 +245,22 @@
         worst.fold(1.0, f64::max)
     }
 
+    /// Ends a window of the balance.
+    pub(super) fn sample_balance(&mut self) {
+        let now = self.now;
+        let begun = self.servers.iter_mut().filter_map(|server| {
+            let count = std::mem::take(&mut server.begun);
+            (server.service == 0 && server.takes_flows(now)).then_some(count)
+        });
+        let begun: Vec<u64> = begun.collect();
+        let (sum, largest) = (begun.iter().sum::<u64>(), begun.iter().max());
+        if let Some(largest) = largest.filter(|_| sum > 0) {
+            let ratio = *largest as f64 * begun.len() as f64 / sum as f64;
+            self.measure.balance.push(ratio);
+        }
+        self.send(Duration::from_secs(WINDOW as u64), Event::Sample);
+    }
+
     /// Returns what the day came to.
     pub fn report(&self) -> Report {
         let measure = &self.measure;
@@ -249,6 +274,7 @@
             classes: measure.class_reports(),
             zones: measure.zones.iter().map(Sum::share).collect(),
             imbalance: self.imbalance(),
+            balance: measure.balance.clone(),
             losses: measure.losses.clone(),
             channels: measure.channels,
             store_calls: measure.store_calls,
--- a/scenarios/src/dsr/servers.rs
+++ b/scenarios/src/dsr/servers.rs
@@ -113,6 +113,8 @@
     pub(super) cold_openings: VecDeque<Time>,
     /// Flows that opened there.
     pub(super) taken: u64,
+    /// Requests that came there since the last sample of the balance.
+    pub(super) begun: u64,
 }
 
 impl Server {
@@ -167,6 +169,7 @@
             changed: false,
             cold_openings: VecDeque::new(),
             taken: 0,
+            begun: 0,
         });
         self.holders.insert(address, key);
         self.heartbeat(key);
@@ -351,6 +354,7 @@
         }
         end.turn = turn;
         end.round = None;
+        server.begun += 1;
         let opening = end.opening;
         if first {
             self.flows[flow.0].opened = Some((key, now));
--- a/scenarios/src/dsr/world.rs
+++ b/scenarios/src/dsr/world.rs
@@ -94,6 +94,8 @@
     Step(usize, usize),
     Closing(bool),
     Visit,
+    /// A window of the balance of backend servers ends.
+    Sample,
 }
 
 /// The emulated platform.
@@ -181,6 +183,7 @@
             }
         }
         self.send(CHECK, Event::Check);
+        self.send(LEAD, Event::Sample);
         for class in 0..self.site.classes.len() {
             for zone in 0..self.site.zones {
                 self.send(LEAD, Event::Arrive(class, zone));
@@ -238,6 +241,7 @@
             Event::Step(index, step) => self.step_trouble(index, step),
             Event::Closing(down) => self.closing(down),
             Event::Visit => self.visit(),
+            Event::Sample => self.sample_balance(),
         }
     }
 }
--- a/scenarios/tests/dsr_days.rs
+++ b/scenarios/tests/dsr_days.rs
@@ -105,6 +105,12 @@
             assert_eq!(report.answered + lost, report.requests);
         }
     };
+    /// Guards against a balance that leaves out windows, or counts flows where clients keep them.
+    balance_is_sampled_over_the_day => {
+        let balance = play(&Site::padana(), &Day::quiet(), 1).balance;
+        assert!((24..=26).contains(&balance.len()), "{balance:?}");
+        assert!(balance.iter().all(|ratio| (1.0..=14.0).contains(ratio)), "{balance:?}");
+    };
     /// Guards against an emulator whose days cannot be played again.
     days_repeat => {
         let day = Day::drawn(&Site::tsb(), 5);
