Do not reset a flow whose first choice is owned elsewhere

The instance at which the search ended reset the flow, although it knew the owner that served it; the caller got the reset between two parts of its download.

Data without a record is now reset only by the owner of the first choice, which has the record if any instance has it. Others drop it, and the caller's next packet goes another way.

Ruled out: asking the owner once more from there, as two instances with different members could pass a packet on between them.

The new case failed before and passes now; another one checks that flows that nobody knows are still reset.

--- a/decisions/src/routing.rs
+++ b/decisions/src/routing.rs
@@ -570,8 +570,13 @@
                 };
                 self.place(now, relay, ranking, packet, out);
             }
-            // If a zone is unreachable, the flow may be served there, and must not be reset.
-            PacketKind::Data if ranking.iter().all(|c| self.is_usable(c.zone)) => {
+            // The flow must not be reset if it may be served elsewhere: in a zone that is
+            // unreachable, or by the owner of its first choice, which the instance that began the
+            // search may not know.
+            PacketKind::Data
+                if ranking.iter().all(|c| self.is_usable(c.zone))
+                    && self.owns_first_choice(&ranking) =>
+            {
                 self.send_caller(packet.reply(PacketKind::Reset, Reason::UnknownFlow), out);
             }
             _ => self.counters.add(Counter::StrayPackets),
@@ -589,6 +594,11 @@
         self.host_packet(now, key, relay, packet, out);
     }
 
+    fn owns_first_choice(&mut self, ranking: &Ranking) -> bool {
+        let first = self.first_owner(ranking);
+        first.is_some_and(|(_, owner)| owner == self.member.id)
+    }
+
     fn first_owner(&mut self, ranking: &Ranking) -> Option<(Candidate, InstanceId)> {
         for candidate in ranking {
             if !self.is_usable(candidate.zone) {
--- a/decisions/tests/unknown_flows.rs
+++ b/decisions/tests/unknown_flows.rs
@@ -24,12 +24,16 @@
 use lovagespindle_decisions::packet::{
     Packet,
     PacketKind,
+    Purpose,
     Reason,
+    Relay,
     Route, //
 };
 use lovagespindle_decisions::peer::{
     Member,
-    MemberState, //
+    MemberState,
+    MemberUpdate,
+    PeerMessage, //
 };
 use lovagespindle_decisions::{
     Action,
@@ -90,6 +94,17 @@
         assert_eq!(sent(&out), None);
         assert_eq!(told(&out), [(PacketKind::Unknown, RequestId(1))]);
     };
+    /// Guards against the reset of a live flow by instances that know different members: a fresh
+    /// instance that does not know the owner of the flow's first choice begins its search later, and
+    /// the search may end at an instance that knows the owner.
+    flow_whose_first_choice_is_owned_elsewhere_is_not_reset => {
+        assert_eq!(Rig::with_neighbour().end_search(false), []);
+    };
+    /// Guards against callers that wait for a flow that no instance knows.
+    flow_that_nobody_knows_is_reset => {
+        let told = Rig::with_neighbour().end_search(true);
+        assert_eq!(told, [(PacketKind::Reset, RequestId(1))]);
+    };
     /// Guards against the reset of a flow that lives at another backend server: data that has no
     /// request in progress shows nothing of it.
     data_without_a_request_resets_no_caller => {
@@ -99,34 +114,113 @@
     };
 }
 
-/// An instance that owns all backend servers of one service since a moment ago.
+/// An instance that owns backend servers of one service.
 struct Rig {
     instance: Instance,
     now: Time,
 }
 
+/// Number of backend servers of a zone that two instances share.
+const SHARED: u8 = 8;
+
 impl Rig {
+    /// Starts an instance that is alone and owns all backend servers since a moment ago.
     fn new(servers: u8) -> Rig {
-        let member = Member {
-            id: InstanceId(7),
-            zone: ZoneId::of("a"),
-            control: ([127, 0, 0, 1], 7001).into(),
-            relay: ([127, 0, 0, 1], 7002).into(),
-        };
-        let instance = Instance::new(member, Settings::default(), 1);
+        let mut rig = Rig::start(servers, &[]);
+        rig.run(100, &[]);
+        rig
+    }
+
+    /// Starts an instance that has shared the backend servers with another one for over a minute, so
+    /// that it adopts no flows.
+    fn with_neighbour() -> Rig {
+        let mut rig = Rig::start(SHARED, &[member(8)]);
+        rig.run(800, &[member(8)]);
+        rig
+    }
+
+    fn start(servers: u8, others: &[Member]) -> Rig {
+        let instance = Instance::new(member(7), Settings::default(), 1);
         let mut rig = Rig {
             instance,
             now: Time::from_start(Duration::from_secs(1)),
         };
         let state = MemberState::Live;
-        rig.handle(0, Event::Registry(vec![RegistryEntry { member, state }]));
+        let entries = others.iter().copied().chain([member(7)]);
+        let entries = entries.map(|member| RegistryEntry { member, state });
+        rig.handle(0, Event::Registry(entries.collect()));
         rig.handle(0, Event::Snapshot(Arc::new(configuration(servers))));
-        for _ in 0..100 {
-            rig.handle(100, Event::Tick);
-        }
         rig
     }
 
+    /// Runs ticks of 100 ms; the other members acknowledge the heartbeats.
+    fn run(&mut self, ticks: u32, others: &[Member]) {
+        for _ in 0..ticks {
+            for action in self.handle(100, Event::Tick) {
+                let Action::SendPeer { to, message, .. } = action else {
+                    continue;
+                };
+                let other = others.iter().find(|other| other.id == to);
+                if let (
+                    Some(other),
+                    PeerMessage::Heartbeat {
+                        sequence, digest, ..
+                    },
+                ) = (other, *message)
+                {
+                    self.acknowledge(*other, sequence, digest);
+                }
+            }
+        }
+    }
+
+    fn acknowledge(&mut self, member: Member, sequence: u64, digest: u64) {
+        let ack = PeerMessage::HeartbeatAck {
+            sender: MemberUpdate {
+                member,
+                state: MemberState::Live,
+                incarnation: 0,
+            },
+            sequence,
+            revision: Revision(0),
+            digest,
+            updates: Default::default(),
+        };
+        let message = Box::new(ack);
+        let from = member.id;
+        self.handle(0, Event::PeerMessage { from, message });
+    }
+
+    /// Sends data of a flow that the search for its owner brought here, and returns what the caller
+    /// was told. `first` is whether this instance owns the first choice of the flow.
+    fn end_search(&mut self, first: bool) -> Vec<(PacketKind, RequestId)> {
+        let owned = self.instance.status(self.now).owned[0].backend_server;
+        let flow = (0..64).map(FlowId).find(|flow| {
+            let data = Packet {
+                flow: *flow,
+                ..packet(1, PacketKind::Data)
+            };
+            let out = self.handle(0, Event::CallerPacket(data));
+            let elsewhere = out.iter().any(
+                |action| matches!(action, Action::Relay { relay, .. } if relay.candidate == 0),
+            );
+            elsewhere != first
+        });
+        let packet = Packet {
+            flow: flow.unwrap(),
+            ..packet(1, PacketKind::Data)
+        };
+        let relay = Relay {
+            purpose: Purpose::Adopt,
+            hops: 3,
+            candidate: 0,
+            table: 0,
+            backend_server: owned,
+            possibly_executed: false,
+        };
+        told(&self.handle(0, Event::RelayedPacket { relay, packet }))
+    }
+
     fn handle(&mut self, after: u64, event: Event) -> Vec<Action> {
         self.now = self.now + Duration::from_millis(after);
         let mut out = Vec::new();
@@ -175,6 +269,15 @@
     packets.collect()
 }
 
+fn member(id: u8) -> Member {
+    Member {
+        id: InstanceId(id.into()),
+        zone: ZoneId::of("a"),
+        control: ([127, 0, 0, id], 7001).into(),
+        relay: ([127, 0, 0, id], 7002).into(),
+    }
+}
+
 fn packet(request: u32, kind: PacketKind) -> Packet {
     let configuration = configuration(1);
     let service = *configuration.services.keys().next().unwrap();
