Check for isolation when open flows are lost

A server probe without an answer now starts the round of probes, if no backend server of the own zone may serve. Where one may, nothing changes: the round probes other zones only, and would send clients away from a zone that serves them by itself.

Ruled out: starting the round with the client's retransmission, 100 ms earlier, as each lost packet would cost four probes.

The new case failed before and passes now; another one checks that the own zone keeps its clients.

--- a/decisions/src/dsr/server_loss.rs
+++ b/decisions/src/dsr/server_loss.rs
@@ -200,6 +200,22 @@
         }
         self.reset_flows(probe.server, Evidence::Unanswered);
         self.probe_zone(now, probe.server);
+        // All clients depend on other zones, which may be cut off. Open flows show it before enough
+        // handshakes have timed out.
+        if !self.has_own_server(now) {
+            self.check_isolation(now);
+        }
+    }
+
+    /// Returns whether a backend server of the own zone may serve.
+    fn has_own_server(&self, now: Time) -> bool {
+        let mut servers = self.view.servers.iter().map(|(_, server)| server);
+        !self.view.evacuated.contains(&self.zone)
+            && servers.any(|server| {
+                server.entry.zone == self.zone
+                    && server.registration == Registration::Ready
+                    && !server.liveness.is_unanswered(now)
+            })
     }
 
     /// Probes other servers of the zone of a server that is gone, because the whole zone may be cut
--- a/decisions/tests/dsr/zone_cut.rs
+++ b/decisions/tests/dsr/zone_cut.rs
@@ -6,6 +6,7 @@
     cases,
     ms, //
 };
+use lovagespindle_decisions::dsr::server_loss::ProbeAnswer;
 use lovagespindle_decisions::dsr::store_update::Change;
 
 /// Number of backend servers of each zone.
@@ -31,6 +32,16 @@
     servers.map(|server| rig.syn_count(server)).sum()
 }
 
+/// Opens a long flow, and lets its backend server answer neither the client nor a probe.
+fn lose_open_flow(rig: &mut Rig) {
+    let (flow, target) = rig.open_long_flow();
+    rig.advance(ms(300));
+    rig.send_request(flow, target.tag, (200, 1));
+    rig.advance(ms(200));
+    rig.send_request(flow, target.tag, (200, 1));
+    assert_eq!(rig.answer_server_probes(ms(100), ProbeAnswer::Silent), 1);
+}
+
 cases! {
     /// Guards against clients that wait for a handshake timeout at each of the servers of a zone that
     /// is cut off.
@@ -63,6 +74,24 @@
         assert_eq!(rig.zone_changes(), 0);
     }
 
+    /// Guards against clients with long flows whose own zone is out of service and whose instance is
+    /// cut off from the others: the instance must not wait for handshakes to time out, as such clients
+    /// open few flows.
+    isolation_is_checked_when_an_open_flow_is_lost => {
+        let mut rig = serve(&["a", "b", "c"]);
+        rig.apply(Change::ZoneEvacuated("a".into()));
+        lose_open_flow(&mut rig);
+        assert_eq!(rig.probe_rounds(), 1);
+    }
+
+    /// Guards against an instance that is taken for isolated, and its clients sent away, while the
+    /// backend servers of its own zone serve.
+    lost_flow_does_not_isolate_where_the_own_zone_serves => {
+        let mut rig = serve(&["a", "b", "c"]);
+        lose_open_flow(&mut rig);
+        assert_eq!(rig.probe_rounds(), 0);
+    }
+
     /// Guards against clients whose instance is cut off from all zones that may serve them, and that
     /// finds out only when it has tried hundreds of servers.
     isolation_is_checked_after_a_few_timeouts => {
