--- a/decisions/src/routing.rs
+++ b/decisions/src/routing.rs
@@ -594,6 +594,7 @@
         self.host_packet(now, key, relay, packet, out);
     }
 
+    /// Returns whether this instance owns the first choice of a flow, as far as it knows the members.
     fn owns_first_choice(&mut self, ranking: &Ranking) -> bool {
         let first = self.first_owner(ranking);
         first.is_some_and(|(_, owner)| owner == self.member.id)
--- a/scenarios/src/dsr/clients.rs
+++ b/scenarios/src/dsr/clients.rs
@@ -97,7 +97,7 @@
     Request {
         server: ServerKey,
         turn: u32,
-        /// The parts of answers that the client has.
+        /// How many parts of answers the client has.
         round: u32,
     },
     /// Acknowledges a part of the answer.
