Count servers with expired entries when isolation is checked

Cause: the check that open flows start asked for a ready backend server of the own zone. While the store is away, entries expire although their servers serve, so that a zone that is cut off would have sent its clients away.

The new case failed before and passes now.

--- a/decisions/src/dsr/server_loss.rs
+++ b/decisions/src/dsr/server_loss.rs
@@ -212,9 +212,11 @@
         let mut servers = self.view.servers.iter().map(|(_, server)| server);
         !self.view.evacuated.contains(&self.zone)
             && servers.any(|server| {
-                server.entry.zone == self.zone
-                    && server.registration == Registration::Ready
-                    && !server.liveness.is_unanswered(now)
+                let used = matches!(
+                    server.registration,
+                    Registration::Ready | Registration::Expired(_)
+                );
+                used && server.entry.zone == self.zone && !server.liveness.is_unanswered(now)
             })
     }
 
--- a/decisions/tests/dsr/zone_cut.rs
+++ b/decisions/tests/dsr/zone_cut.rs
@@ -92,6 +92,17 @@
         assert_eq!(rig.probe_rounds(), 0);
     }
 
+    /// Guards against the same while the entries of the own zone's backend servers have expired,
+    /// because the store was away: these servers still serve.
+    lost_flow_does_not_isolate_where_the_own_zone_has_expired_entries => {
+        let mut rig = serve(&["a", "b", "c"]);
+        (1..=SERVERS).for_each(|server| {
+            rig.apply(Change::ServerRemoved(format!("s{server}").as_str().into()));
+        });
+        lose_open_flow(&mut rig);
+        assert_eq!(rig.probe_rounds(), 0);
+    }
+
     /// Guards against clients whose instance is cut off from all zones that may serve them, and that
     /// finds out only when it has tried hundreds of servers.
     isolation_is_checked_after_a_few_timeouts => {
