Show the age of the view, and count flows opened on a stale one

The bounds of the platform are now settings (decisions.drain_bound and decisions.config_bound, from the template). view_age is logged when the view passes the smaller one and when it is confirmed again, opened_stale counts flows opened meanwhile, view_age_seconds is a gauge, and peer_stale has the hops. No decision changes.

--- a/daemon/src/dsr/decision_log.rs
+++ b/daemon/src/dsr/decision_log.rs
@@ -261,6 +261,9 @@
             "event=zone zone={zone} out={evacuated} revision={}",
             revision.0
         ),
+        Decision::ViewAge { stale, age } => {
+            log::warn!("event=view_age stale={stale} age_ms={:.0}", millis(age));
+        }
         Decision::Probe { count, view_age } => {
             log::info!(
                 "event=probe count={count} news_age_ms={:.0}",
--- a/daemon/src/dsr/forwarder.rs
+++ b/daemon/src/dsr/forwarder.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use kameo::actor::{
     Actor,
@@ -84,6 +85,8 @@
     pub counts: Counts,
     /// Number of flow records.
     pub flows: usize,
+    /// Time since the store last confirmed the view.
+    pub view_age: Duration,
 }
 
 /// Makes the instance report that it is not ready. Packets are still forwarded.
@@ -390,6 +393,7 @@
         Ok(ForwarderCounts {
             counts: counts.plus(self.log.counts()),
             flows: self.balancer.flows(),
+            view_age: self.balancer.view_age(self.clock.now()),
         })
     }
 }
--- a/daemon/src/dsr/metrics.rs
+++ b/daemon/src/dsr/metrics.rs
@@ -110,6 +110,7 @@
     registry: Registry,
     counters: Vec<(Count, Counter<u64>)>,
     flows: Gauge<u64>,
+    view_age: Gauge<f64>,
     /// Counts at the last request, as counters can only add differences.
     last: Counts,
     forwarder: ActorRef<Forwarder>,
@@ -175,6 +176,10 @@
         Metrics {
             counters: Count::iter().map(counter).collect(),
             flows: meter.u64_gauge("lovagespindle_flows").build(),
+            view_age: meter
+                .f64_gauge("lovagespindle_view_age")
+                .with_unit("s")
+                .build(),
             registry: instruments.registry,
             _provider: instruments.provider,
             last: Counts::default(),
@@ -191,6 +196,7 @@
         }
         self.last = all.counts;
         self.flows.record(all.flows as u64, &[]);
+        self.view_age.record(all.view_age.as_secs_f64(), &[]);
         match TextEncoder::new().encode_to_string(&self.registry.gather()) {
             Ok(text) => (StatusCode::OK, text),
             Err(error) => unavailable(&error.to_string()),
--- a/daemon/src/dsr/peer_sync.rs
+++ b/daemon/src/dsr/peer_sync.rs
@@ -95,8 +95,14 @@
 enum PeerError {
     #[error(transparent)]
     Sync(#[from] SyncError),
-    #[error("last confirmed by the store {0:?} ago")]
-    Stale(Duration),
+    /// The other instance's documents are too old.
+    #[error("last confirmed by the store {age:?} ago, {hops} hops away")]
+    Stale {
+        /// Time since the store confirmed its documents.
+        age: Duration,
+        /// Number of instances between it and the store.
+        hops: u32,
+    },
     #[error("no documents from the store")]
     Empty,
 }
@@ -250,7 +256,7 @@
                 self.failures += 1;
                 self.report_failure(parent, &error).await;
             }
-            PeerError::Stale(_) | PeerError::Empty => self.report_stale(parent, &error).await,
+            PeerError::Stale { .. } | PeerError::Empty => self.report_stale(parent, &error).await,
         }
         let Some(position) = self.position().await else {
             return;
@@ -279,7 +285,10 @@
                 stale_since = None;
                 self.confirm_parent(parent, state.hops).await;
             } else if stale_since.get_or_insert_with(Instant::now).elapsed() >= patience {
-                return Err(state.age.map_or(PeerError::Empty, PeerError::Stale));
+                return Err(state.age.map_or(PeerError::Empty, |age| PeerError::Stale {
+                    age,
+                    hops: state.hops,
+                }));
             }
             self.refresh().await;
         }
@@ -310,7 +319,7 @@
                     self.report_failure(address, &error).await;
                     sleep(RETRY_DELAY).await;
                 }
-                Err(error @ (PeerError::Empty | PeerError::Stale(_))) => {
+                Err(error @ (PeerError::Empty | PeerError::Stale { .. })) => {
                     let empty = matches!(error, PeerError::Empty);
                     self.report_stale(address, &error).await;
                     sleep(if empty { RETRY_DELAY } else { STALE_DELAY }).await;
@@ -331,7 +340,10 @@
             let state = self.request_update(&mut client, &position).await?;
             let age = state.age.ok_or(PeerError::Empty)?;
             if age > MAX_AGE {
-                return Err(PeerError::Stale(age));
+                return Err(PeerError::Stale {
+                    age,
+                    hops: state.hops,
+                });
             }
             self.send_command(PublisherCommand::SetHops(state.hops + 1))
                 .await;
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -179,6 +179,8 @@
     time store.longest_pause: millis(1), MINUTE;
     time shutdown.grace: seconds(1), MINUTE;
     time shutdown.quiet: millis(10), MINUTE;
+    time decisions.drain_bound: millis(100), TEN_MINUTES;
+    time decisions.config_bound: millis(100), TEN_MINUTES;
     time decisions.shortest_wait: millis(1), MINUTE;
     time decisions.longest_wait: millis(1), MINUTE;
     time decisions.first_retry: millis(10), MINUTE;
--- a/daemon/tests/dsr_settings.rs
+++ b/daemon/tests/dsr_settings.rs
@@ -189,6 +189,7 @@
         "name" => "\"front-a-1\"",
         "zone" => "\"a\"",
         "seeds" => "[\"10.1.0.10:8166\",\"10.2.0.40:8166\"]",
+        "drain_bound" | "config_bound" => "\"3000ms\"",
         "clients" | "readiness" | "peers" | "metrics" | "address" => "\"10.1.0.10:8167\"",
         other => panic!("the template sets {other}, which has no example value"),
     }
@@ -196,7 +197,17 @@
 
 fn check_template() {
     let template = read("deploy/settings.template");
-    let lines = template.lines().map(|line| match line.split_once(" = ") {
+    // A section that covers a whole line is left out where the platform has no value.
+    let lines = template.lines().map(|line| match line.strip_prefix("{{#") {
+        Some(section) => {
+            let (name, rest) = section.split_once("}}").expect("a name");
+            let end = format!("{{{{/{name}}}}}");
+            rest.strip_suffix(end.as_str())
+                .expect("the end of the section")
+        }
+        None => line,
+    });
+    let lines = lines.map(|line| match line.split_once(" = ") {
         Some((key, placeholder)) => {
             assert!(
                 placeholder.contains("{{") && placeholder.contains("}}"),
--- a/decisions/src/dsr/balancer.rs
+++ b/decisions/src/dsr/balancer.rs
@@ -147,6 +147,11 @@
         self.counts
     }
 
+    /// Returns the time since the store last confirmed the view, or since the start if it never did.
+    pub fn view_age(&self, now: Time) -> Duration {
+        self.view.age(now)
+    }
+
     /// Returns the number of flows that have a record.
     pub fn flows(&self) -> usize {
         self.flows.len()
@@ -217,6 +222,7 @@
                 ..
             } = self;
             view.sweep(now, settings, log);
+            view.check_age(now, settings, log);
             self.reset_departed(now);
         }
     }
--- a/decisions/src/dsr/counts.rs
+++ b/decisions/src/dsr/counts.rs
@@ -17,6 +17,8 @@
     Forwarded,
     /// Flows opened at a first backend server.
     Opened,
+    /// Flows opened although the store had not confirmed the view within the bound.
+    OpenedStale,
     /// SYNs that were also sent to a further backend server.
     Reopened,
     /// Handshakes that completed.
--- a/decisions/src/dsr/decision.rs
+++ b/decisions/src/dsr/decision.rs
@@ -131,6 +131,13 @@
         /// The revision of the store.
         revision: Revision,
     },
+    /// The store has not confirmed the view within the bound, or has confirmed it again.
+    ViewAge {
+        /// Whether the view is too old.
+        stale: bool,
+        /// Time since the store last confirmed the view.
+        age: Duration,
+    },
     /// Probes of backend servers of other zones start, because no backend server answered a flow or
     /// the instance is isolated.
     Probe {
--- a/decisions/src/dsr/settings.rs
+++ b/decisions/src/dsr/settings.rs
@@ -10,6 +10,13 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
+    /// Time within which a backend server that leaves must get no new flows, from the store's
+    /// acknowledgement to the last SYN.
+    #[serde(with = "humantime_serde")]
+    pub drain_bound: Duration,
+    /// Time within which an acknowledged configuration must be in force.
+    #[serde(with = "humantime_serde")]
+    pub config_bound: Duration,
     /// Lower bound of the handshake timeout, after which a SYN is also sent to another backend
     /// server. It exceeds the round-trip time between the most distant zones and clients.
     #[serde(with = "humantime_serde")]
@@ -50,6 +57,8 @@
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
+            drain_bound: Duration::from_secs(3),
+            config_bound: Duration::from_secs(3),
             shortest_wait: Duration::from_millis(40),
             longest_wait: Duration::from_millis(180),
             first_retry: Duration::from_millis(500),
@@ -63,3 +72,11 @@
         }
     }
 }
+
+impl Settings {
+    /// Returns the age at which the view of the store is too old to open flows without breaking a
+    /// bound.
+    pub fn max_age(&self) -> Duration {
+        self.drain_bound.min(self.config_bound)
+    }
+}
--- a/decisions/src/dsr/store_view.rs
+++ b/decisions/src/dsr/store_view.rs
@@ -48,6 +48,8 @@
     pub(super) evacuated: HashSet<Arc<str>>,
     /// The time of the last confirmation by the store.
     pub(super) last_confirmed: Option<Time>,
+    /// Whether the log says that the view is older than the bound.
+    stale: bool,
     /// The time since which the store has confirmed the view without a long gap.
     steady_since: Time,
     /// Backend servers whose entries were removed, and whose open flows were not reset since.
@@ -317,6 +319,15 @@
         }
     }
 
+    /// Logs when the age of a complete view passes the bound, or falls below it again.
+    pub(super) fn check_age(&mut self, now: Time, settings: &Settings, log: &mut Vec<Decision>) {
+        let age = self.age(now);
+        let stale = self.is_complete() && age >= settings.max_age();
+        if std::mem::replace(&mut self.stale, stale) != stale {
+            log.push(Decision::ViewAge { stale, age });
+        }
+    }
+
     /// Marks backend servers as removed whose entries expired and did not return in time, and
     /// forgets those removed for longer than [`RETENTION`].
     pub(super) fn sweep(&mut self, now: Time, settings: &Settings, log: &mut Vec<Decision>) {
--- a/decisions/src/dsr/syn.rs
+++ b/decisions/src/dsr/syn.rs
@@ -126,6 +126,9 @@
             active: true,
         };
         self.counts.add(Count::Opened);
+        if self.view.age(now) >= self.settings.max_age() {
+            self.counts.add(Count::OpenedStale);
+        }
         if tier == Tier::Suspect {
             self.check_isolation(now);
         }
