Do not follow an instance that depends on the follower

Callers saw requests run at a backend server more than 3 s after it had said that it leaves.

Cause: a cycle of sources (count to infinity, as in distance-vector routing). The watcher of a zone that the store refuses follows one of its children. When the child's penalty for its stale parent ends, it follows the parent again: the parent's documents are recent, as they are the child's own. Now nobody in the zone calls the store. Replies carried only the number of hops, which grew by one with each exchange, and each hop added 0.3 s of patience.

Replies now name the instances on the way to the store, and one that finds itself among them does not use the source, nor stop calling the store for it. The hops are the length of this path. The emulator does the same.

Ruled out: keeping an instance that the store refuses from being a parent at all; when a whole zone is cut from the store, each instance would call it.

--- a/daemon/src/dsr/peer_sync.rs
+++ b/daemon/src/dsr/peer_sync.rs
@@ -9,6 +9,7 @@
     Peer,
     Source, //
 };
+use lovagespindle_decisions::dsr::source_path::SourcePath;
 use lovagespindle_decisions::dsr::store_update::Revision;
 use lovagespindle_instances::sync::{
     Query,
@@ -105,14 +106,26 @@
     },
     #[error("no documents from the store")]
     Empty,
+    /// The other instance gets its updates from this one, directly or through others.
+    #[error("it gets its updates from this instance")]
+    Cycle,
 }
 
 /// The state of an instance's updates as its reply shows it.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct PeerState {
     /// Time since the store confirmed its documents, or `None` if it has none.
     age: Option<Duration>,
-    hops: u32,
+    /// The instances between it and the store.
+    path: SourcePath,
+}
+
+impl PeerState {
+    /// Returns the path of the instance at `me` if it gets its updates from this one at `address`.
+    fn path_through(&self, address: SocketAddrV4, me: &Peer) -> Result<SourcePath, PeerError> {
+        let path = self.path.through(address, me.address);
+        path.ok_or(PeerError::Cycle)
+    }
 }
 
 /// Gets updates from other instances and keeps the list of known peers up to date.
@@ -195,7 +208,8 @@
         if self.store_use.send_replace(StoreUse::Watch) != StoreUse::Watch {
             log::info!("event=store_used reason={reason:?}");
         }
-        self.send_command(PublisherCommand::SetHops(0)).await;
+        self.send_command(PublisherCommand::SetPath(SourcePath::default()))
+            .await;
     }
 
     /// Waits while this instance watches the store. Returns when it is time to check the position
@@ -256,7 +270,9 @@
                 self.failures += 1;
                 self.report_failure(parent, &error).await;
             }
-            PeerError::Stale { .. } | PeerError::Empty => self.report_stale(parent, &error).await,
+            PeerError::Stale { .. } | PeerError::Empty | PeerError::Cycle => {
+                self.report_stale(parent, &error).await
+            }
         }
         let Some(position) = self.position().await else {
             return;
@@ -277,18 +293,18 @@
             && position.source == Source::Peer(parent)
         {
             let state = self.request_update(&mut client, &position).await?;
+            let path = state.path_through(parent, &self.me)?;
+            let hops = state.path.hops();
             let (limit, patience) = match state.age {
-                Some(_) => (MAX_AGE, PATIENCE_PER_HOP * state.hops),
+                Some(_) => (MAX_AGE, PATIENCE_PER_HOP * hops),
                 None => (Duration::ZERO, EMPTY_PATIENCE),
             };
             if state.age.is_some_and(|age| age <= limit) {
                 stale_since = None;
-                self.confirm_parent(parent, state.hops).await;
+                self.confirm_parent(parent, path).await;
             } else if stale_since.get_or_insert_with(Instant::now).elapsed() >= patience {
-                return Err(state.age.map_or(PeerError::Empty, |age| PeerError::Stale {
-                    age,
-                    hops: state.hops,
-                }));
+                let stale = |age| PeerError::Stale { age, hops };
+                return Err(state.age.map_or(PeerError::Empty, stale));
             }
             self.refresh().await;
         }
@@ -296,14 +312,15 @@
     }
 
     /// Records that the parent has recent updates, so that this instance need not call the store.
-    async fn confirm_parent(&mut self, parent: SocketAddrV4, hops: u32) {
+    async fn confirm_parent(&mut self, parent: SocketAddrV4, path: SourcePath) {
         self.failures = 0;
         if self.store_use.send_replace(StoreUse::None) != StoreUse::None {
+            let hops = path.hops() - 1;
             log::info!("event=leader_followed peer={parent} hops={hops}");
             self.send_command(PublisherCommand::PeerAnswered(parent))
                 .await;
         }
-        self.send_command(PublisherCommand::SetHops(hops + 1)).await;
+        self.send_command(PublisherCommand::SetPath(path)).await;
     }
 
     /// Gets updates from other instances while the store is unreachable.
@@ -319,7 +336,7 @@
                     self.report_failure(address, &error).await;
                     sleep(RETRY_DELAY).await;
                 }
-                Err(error @ (PeerError::Empty | PeerError::Stale { .. })) => {
+                Err(error @ (PeerError::Empty | PeerError::Stale { .. } | PeerError::Cycle)) => {
                     let empty = matches!(error, PeerError::Empty);
                     self.report_stale(address, &error).await;
                     sleep(if empty { RETRY_DELAY } else { STALE_DELAY }).await;
@@ -340,13 +357,11 @@
             let state = self.request_update(&mut client, &position).await?;
             let age = state.age.ok_or(PeerError::Empty)?;
             if age > MAX_AGE {
-                return Err(PeerError::Stale {
-                    age,
-                    hops: state.hops,
-                });
+                let hops = state.path.hops();
+                return Err(PeerError::Stale { age, hops });
             }
-            self.send_command(PublisherCommand::SetHops(state.hops + 1))
-                .await;
+            let path = state.path_through(address, &self.me)?;
+            self.send_command(PublisherCommand::SetPath(path)).await;
         }
         Ok(())
     }
@@ -397,7 +412,7 @@
         }
         let state = PeerState {
             age: reply.update.as_ref().map(|update| update.age),
-            hops: reply.hops,
+            path: reply.path,
         };
         if let Some(update) = reply.update {
             self.send_command(PublisherCommand::Apply(update)).await;
--- a/daemon/src/dsr/publisher.rs
+++ b/daemon/src/dsr/publisher.rs
@@ -13,6 +13,7 @@
     Peers,
     Source, //
 };
+use lovagespindle_decisions::dsr::source_path::SourcePath;
 use lovagespindle_decisions::dsr::store_update::{
     DocumentUpdate,
     Revision,
@@ -60,8 +61,8 @@
     PeerFailed(SocketAddrV4),
     /// Records that another instance has no recent confirmation by the store.
     PeerStale(SocketAddrV4),
-    /// Sets the number of instances between this one and the store.
-    SetHops(u32),
+    /// Sets the instances between this one and the store.
+    SetPath(SourcePath),
     /// Returns where this instance gets updates from.
     GetPosition(oneshot::Sender<Position>),
     /// Returns an instance to get updates from while the store is unreachable.
@@ -99,8 +100,8 @@
     /// Revision up to which the document cache is complete.
     known: watch::Sender<Option<Revision>>,
     long_polls: Vec<LongPoll>,
-    /// Number of instances between this one and the store.
-    hops: u32,
+    /// The instances between this one and the store.
+    path: SourcePath,
 }
 
 impl Publisher {
@@ -122,7 +123,7 @@
             requests,
             known,
             long_polls: Vec::new(),
-            hops: 0,
+            path: SourcePath::default(),
         }
     }
 
@@ -149,7 +150,7 @@
             PublisherCommand::Apply(update) => self.apply(now, update).await,
             // The cache keeps complete snapshots only, as other instances build on it.
             PublisherCommand::ApplyPart(update) => self.update_forwarder(update).await,
-            PublisherCommand::SetHops(hops) => self.hops = hops,
+            PublisherCommand::SetPath(path) => self.path = path,
             PublisherCommand::PeerAnswered(address) => self.peers.record_answer(address),
             PublisherCommand::AddPeers(peers) => self.peers.merge(now, &peers),
             PublisherCommand::SetSeeds(seeds) => self.peers.set_seeds(&seeds),
@@ -232,7 +233,7 @@
             let reply = Reply {
                 update,
                 peers,
-                hops: self.hops,
+                path: self.path.clone(),
             };
             // The connection may have been closed.
             let _ = poll.incoming.reply.send(reply);
--- a/daemon/tests/dsr.rs
+++ b/daemon/tests/dsr.rs
@@ -120,7 +120,6 @@
 
     /// Guards against instances that follow each other in a cycle and take their old documents for
     /// recent ones: the watcher of a zone is refused by the store and follows its own children.
-    #[ignore = "KNOWN-RED.txt, issue 21"]
     changes_arrive_while_the_watcher_is_refused_by_the_store(19, fleet) => {
         let mut endpoints = Vec::new();
         let mut daemons: Vec<usize> = Vec::new();
--- a/decisions/src/dsr/mod.rs
+++ b/decisions/src/dsr/mod.rs
@@ -23,6 +23,7 @@
 pub mod servers;
 pub mod settings;
 pub mod shutdown;
+pub mod source_path;
 pub mod store_update;
 mod store_view;
 mod syn;
--- a/decisions/tests/dsr/main.rs
+++ b/decisions/tests/dsr/main.rs
@@ -6,4 +6,5 @@
 mod rig;
 mod server_loss;
 mod shutdown;
+mod source_path;
 mod zone_cut;
--- a/instances/src/error.rs
+++ b/instances/src/error.rs
@@ -32,6 +32,8 @@
     Finished,
     /// The documents of a sync reply.
     Documents,
+    /// The instances between the replying one and the store.
+    Path,
     /// A configuration record.
     Record,
 }
--- a/instances/src/sync.rs
+++ b/instances/src/sync.rs
@@ -8,6 +8,7 @@
     MAX_PEERS,
     Peer, //
 };
+use lovagespindle_decisions::dsr::source_path::SourcePath;
 use lovagespindle_decisions::dsr::store_update::{
     Document,
     DocumentUpdate,
@@ -66,8 +67,8 @@
     /// The instances that the replying instance knows, including itself. Empty if the digests are
     /// equal.
     pub peers: Vec<Peer>,
-    /// Number of instances between the replying one and the store.
-    pub hops: u32,
+    /// The instances between the replying one and the store.
+    pub path: SourcePath,
 }
 
 /// Converts to milliseconds, saturating at `u32::MAX`.
@@ -96,6 +97,12 @@
     })
 }
 
+fn decode_path(path: &[String]) -> Result<SourcePath, FrameError> {
+    let addresses: Result<Vec<_>, _> = path.iter().map(|at| at.parse()).collect();
+    let addresses = addresses.map_err(|_| FrameError::Invalid(Field::Address))?;
+    SourcePath::new(addresses).ok_or(FrameError::TooMany(Field::Path))
+}
+
 pub fn encode_request(request: &Request) -> Bytes {
     let message = NewsRequest {
         known: match request.query {
@@ -154,7 +161,7 @@
         packed,
         age,
         peers,
-        hops: reply.hops,
+        path: reply.path.addresses().map(|at| at.to_string()).collect(),
     };
     message.encode_to_vec().into()
 }
@@ -192,8 +199,8 @@
 
 /// Decodes a reply.
 ///
-/// Returns an error if the bytes are not a reply, there are more peers than a reply may carry, or
-/// the address of a peer is invalid.
+/// Returns an error if the bytes are not a reply, there are more peers or instances on the path than
+/// a reply may carry, or the address of one is invalid.
 pub fn decode_reply(bytes: Bytes) -> Result<Reply, FrameError> {
     let message = NewsReply::decode(bytes)?;
     if message.peers.len() > MAX_PEERS {
@@ -221,6 +228,6 @@
     Ok(Reply {
         update,
         peers: peers.collect::<Result<_, _>>()?,
-        hops: message.hops,
+        path: decode_path(&message.path)?,
     })
 }
--- a/instances/tests/sync.rs
+++ b/instances/tests/sync.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use lovagespindle_decisions::dsr::peers::Peer;
+use lovagespindle_decisions::dsr::source_path::SourcePath;
 use lovagespindle_decisions::dsr::store_update::{
     Document,
     DocumentUpdate,
@@ -52,6 +53,12 @@
     }
 }
 
+/// Returns a path of this many instances.
+fn path(hops: u8) -> SourcePath {
+    let address = |number| SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, number), 8_166);
+    SourcePath::new((0..hops).map(address)).expect("a path")
+}
+
 fn reply(kind: UpdateKind) -> Reply {
     let document = |key: &str, value: Option<&'static [u8]>| Document {
         key: key.into(),
@@ -66,7 +73,7 @@
             age: Duration::from_millis(40),
         }),
         peers: vec![peer()],
-        hops: 2,
+        path: path(2),
     }
 }
 
@@ -85,7 +92,7 @@
     let none = Reply {
         update: None,
         peers: Vec::new(),
-        hops: 0,
+        path: SourcePath::default(),
     };
     for reply in [
         reply(UpdateKind::Snapshot),
--- a/scenarios/src/dsr/news.rs
+++ b/scenarios/src/dsr/news.rs
@@ -9,6 +9,7 @@
     Peer,
     Source, //
 };
+use lovagespindle_decisions::dsr::source_path::SourcePath;
 use lovagespindle_decisions::dsr::store_update::{
     DocumentUpdate,
     Revision,
@@ -89,13 +90,15 @@
     served: bool,
     pause: Duration,
     refreshed: Time,
+    /// The instances between this one and the store.
+    path: SourcePath,
     /// Questions of others that wait for news.
     waiting: Vec<Ask>,
 }
 
 /// An answer.
 pub(super) enum Answer {
-    News(Option<DocumentUpdate>, Vec<Peer>),
+    News(Option<DocumentUpdate>, Vec<Peer>, SourcePath),
     /// The history is gone.
     Compacted,
     Refused,
@@ -205,7 +208,8 @@
             StoreState::Down => self.reply(ask, Answer::Refused),
             StoreState::Up | StoreState::Slow => {
                 let found = self.store.since(ask.known);
-                let news = |bulletin| Answer::News(Some(bulletin), Vec::new());
+                let news =
+                    |bulletin| Answer::News(Some(bulletin), Vec::new(), SourcePath::default());
                 self.reply(ask, found.map_or(Answer::Compacted, news));
             }
         }
@@ -217,7 +221,8 @@
         let known = ask.known.unwrap_or_default();
         let bulletin = (!ask.names).then(|| machine.archive.since(now, known));
         let zone = zone_name(self.machines[ask.from.0].zone);
-        let answer = Answer::News(bulletin.flatten(), machine.peers.known(now, &zone));
+        let peers = machine.peers.known(now, &zone);
+        let answer = Answer::News(bulletin.flatten(), peers, machine.follow.path.clone());
         self.reply(ask, answer);
     }
 
@@ -265,7 +270,7 @@
             return;
         }
         match answer {
-            Answer::News(bulletin, peers) => {
+            Answer::News(bulletin, peers, path) => {
                 let now = self.now;
                 self.machines[key.0].peers.merge(now, &peers);
                 let age = bulletin.as_ref().map(|bulletin| bulletin.age);
@@ -274,7 +279,7 @@
                     self.learn(key, bulletin);
                 }
                 let changed = self.machines[key.0].archive.known() != before;
-                self.go_on(ask, age, changed);
+                self.go_on(ask, age, &path, changed);
             }
             Answer::Compacted => {
                 self.machines[key.0].follow.store = None;
@@ -299,27 +304,37 @@
     }
 
     /// Asks again, after an answer.
-    fn go_on(&mut self, ask: Ask, age: Option<Duration>, changed: bool) {
+    fn go_on(&mut self, ask: Ask, age: Option<Duration>, path: &SourcePath, changed: bool) {
         let key = ask.from;
+        let me = self.machines[key.0].address;
+        let source = match ask.to {
+            Recipient::Store => me,
+            Recipient::Machine(other) => self.machines[other.0].address,
+        };
         let follow = &mut self.machines[key.0].follow;
         match ask.to {
             Recipient::Store if follow.store == Some(ask.number) => {
                 follow.store = None;
                 follow.connected = true;
+                follow.path = SourcePath::default();
                 follow.pause = PAUSES.0;
                 let pause = if changed { GATHER } else { Duration::ZERO };
                 self.send(pause, Event::Follow(key, ask.epoch));
             }
             Recipient::Machine(_) if follow.peer == Some(ask.number) => {
                 follow.peer = None;
-                let recent = age.is_some_and(|age| age <= MAX_AGE);
+                let path = path.through(source, me);
+                let recent = path.is_some() && age.is_some_and(|age| age <= MAX_AGE);
                 follow.served = recent;
+                if let Some(path) = path.filter(|_| recent) {
+                    follow.path = path;
+                }
                 if !recent && follow.store.is_none() {
                     self.send(Duration::ZERO, Event::Follow(key, ask.epoch));
                 }
-                if !recent && let Recipient::Machine(other) = ask.to {
-                    let (now, address) = (self.now, self.machines[other.0].address);
-                    self.machines[key.0].peers.record_stale(now, address);
+                if !recent {
+                    let now = self.now;
+                    self.machines[key.0].peers.record_stale(now, source);
                 }
                 self.ask_peer(key);
             }
