Ask the store when nobody confirmed the view for half of the bound

Limits of single steps added up instead: 1.5 s of age, 0.3 s of patience for each hop, 0.5 s that a reply may wait and 0.4 s for its timeout, up to 0.8 s for exchanging peers between two requests, and a last resort at 2.5 to 3.5 s that was looked at only when all of these had passed.

The task that calls the store now watches the age itself, beside what the tree of the zone does: at half of the smaller bound, plus up to an eighth at random, it asks the store once. The bounds come from the settings, so that larger fleets, which have larger bounds, ask no more than before. The last resort is gone. A watch whose failure would show only after the bound is now an error of the settings.

unconfirmed_documents_are_confirmed_by_the_store fails without the change (no call within 3 s).

--- a/daemon/src/dsr/peer_sync.rs
+++ b/daemon/src/dsr/peer_sync.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures::future::join_all;
+use lovagespindle_decisions::dsr::document_cache::Known;
 use lovagespindle_decisions::dsr::peers::{
     Peer,
     Source, //
@@ -50,7 +51,8 @@
 
 /// Maximum age of a peer's last confirmation by the store. A watch returns at least once a second,
 /// and a slow store answers within a quarter of a second. Including the wait for replies, a change
-/// arrives within 2 s; 3 s are allowed.
+/// arrives within 2 s. An instance whose view gets older than that asks the store itself, whatever
+/// its source does.
 const MAX_AGE: Duration = Duration::from_millis(1_500);
 
 /// Time for which an instance waits for a stale parent, for each instance between the parent and the
@@ -63,13 +65,6 @@
 /// Number of parents that fail one after the other before the instance calls the store itself.
 const MAX_FAILURES: u32 = 2;
 
-/// Age of the documents at which any instance calls the store, whatever its position. Those near the
-/// top of the tree do so earlier. A random part of [`LAST_RESORT_SPREAD`] is added.
-const LAST_RESORT_AGE: Duration = Duration::from_millis(2_500);
-
-/// Time over which the instances of a zone turn to the store if all of their updates are stale.
-const LAST_RESORT_SPREAD: Duration = Duration::from_secs(1);
-
 /// Interval between two checks of the position in the tree.
 const POSITION_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -133,7 +128,7 @@
     me: Peer,
     seeds: Vec<SocketAddrV4>,
     publisher: mpsc::Sender<PublisherCommand>,
-    known: watch::Receiver<Option<Revision>>,
+    known: watch::Receiver<Option<Known>>,
     /// Set to what this instance calls the store for.
     store_use: watch::Sender<StoreUse>,
     /// Whether the store is reachable.
@@ -143,20 +138,18 @@
     settled: bool,
     /// Delay of the first exchange with the seeds, at most [`MAX_START_DELAY`].
     start_delay: Duration,
-    /// Age of the documents at which this instance calls the store in any case.
-    last_resort: Duration,
     /// Parents that failed one after the other.
     failures: u32,
 }
 
 impl PeerSync {
     /// Creates a task that sends updates and known peers to the publisher. `spread` is a random
-    /// number between 0 and 1, by which instances that start or lose their source together differ.
+    /// number between 0 and 1, by which instances that start together differ.
     pub fn new(
         me: Peer,
         seeds: Vec<SocketAddrV4>,
         publisher: mpsc::Sender<PublisherCommand>,
-        known: watch::Receiver<Option<Revision>>,
+        known: watch::Receiver<Option<Known>>,
         store_use: watch::Sender<StoreUse>,
         store: watch::Receiver<bool>,
         spread: f64,
@@ -171,7 +164,6 @@
             last_refresh: Instant::now(),
             settled: false,
             start_delay: MAX_START_DELAY.mul_f64(spread),
-            last_resort: LAST_RESORT_AGE + LAST_RESORT_SPREAD.mul_f64(spread),
             failures: 0,
         }
     }
@@ -277,11 +269,10 @@
         let Some(position) = self.position().await else {
             return;
         };
-        let age = position.age.unwrap_or(Duration::MAX);
         let stale = !matches!(error, PeerError::Sync(_));
         if self.failures >= MAX_FAILURES {
             self.use_store("parents failed").await;
-        } else if stale && (position.is_candidate || age >= self.last_resort) {
+        } else if stale && position.is_candidate {
             self.use_store("parent is stale").await;
         }
     }
@@ -372,7 +363,8 @@
         client: &mut SyncClient,
         position: &Position,
     ) -> Result<PeerState, SyncError> {
-        let known = self.known.borrow().unwrap_or_default();
+        let known = *self.known.borrow();
+        let known = known.map_or(Revision::default(), |known| known.revision);
         let request = Request {
             age: position.age,
             digest: position.digest,
--- a/daemon/src/dsr/publisher.rs
+++ b/daemon/src/dsr/publisher.rs
@@ -7,7 +7,10 @@
 use kameo::actor::ActorRef;
 use lovagespindle_datagram::Clock;
 use lovagespindle_decisions::Time;
-use lovagespindle_decisions::dsr::document_cache::DocumentCache;
+use lovagespindle_decisions::dsr::document_cache::{
+    DocumentCache,
+    Known, //
+};
 use lovagespindle_decisions::dsr::peers::{
     Peer,
     Peers,
@@ -16,7 +19,6 @@
 use lovagespindle_decisions::dsr::source_path::SourcePath;
 use lovagespindle_decisions::dsr::store_update::{
     DocumentUpdate,
-    Revision,
     Revisioned,
     StoreUpdate, //
 };
@@ -97,8 +99,8 @@
     forwarder: ActorRef<Forwarder>,
     commands: mpsc::Receiver<PublisherCommand>,
     requests: mpsc::Receiver<IncomingRequest>,
-    /// Revision up to which the document cache is complete.
-    known: watch::Sender<Option<Revision>>,
+    /// What the document cache holds.
+    known: watch::Sender<Option<Known>>,
     long_polls: Vec<LongPoll>,
     /// The instances between this one and the store.
     path: SourcePath,
@@ -112,7 +114,7 @@
         forwarder: ActorRef<Forwarder>,
         commands: mpsc::Receiver<PublisherCommand>,
         requests: mpsc::Receiver<IncomingRequest>,
-        known: watch::Sender<Option<Revision>>,
+        known: watch::Sender<Option<Known>>,
     ) -> Publisher {
         Publisher {
             clock,
@@ -209,13 +211,14 @@
     /// Replies to the requests for which there is an update, and to those past their deadline.
     fn answer_long_polls(&mut self) {
         let now = self.clock.now();
-        let (known, age) = (self.documents.known(), self.documents.age(now));
-        let confirmed = age.map(|age| now - age);
+        let known = self.documents.known();
+        let revision = known.map(|known| known.revision);
+        let confirmed = known.map(|known| known.confirmed);
         let ready = |poll: &mut LongPoll| match poll.incoming.request.query {
             Query::Peers => true,
             Query::Since(base) => {
                 let later = poll.confirmed.map(|confirmed| confirmed + MIN_ADVANCE);
-                known > Some(base) || confirmed > later || now >= poll.deadline
+                revision > Some(base) || confirmed > later || now >= poll.deadline
             }
         };
         let ready: Vec<_> = self.long_polls.extract_if(.., ready).collect();
--- a/daemon/src/dsr/reload.rs
+++ b/daemon/src/dsr/reload.rs
@@ -15,7 +15,7 @@
 use crate::dsr::publisher::PublisherCommand;
 use crate::dsr::settings::{
     Settings,
-    StoreSettings, //
+    StoreAccess, //
 };
 
 /// Applies changed settings to the running tasks.
@@ -29,7 +29,7 @@
     /// Receives the seeds.
     pub publisher: mpsc::Sender<PublisherCommand>,
     /// Receives the settings of the store.
-    pub store: watch::Sender<StoreSettings>,
+    pub store: watch::Sender<StoreAccess>,
 }
 
 impl Reloader {
@@ -55,13 +55,16 @@
                     log::warn!("event=reload_ignored part={part} reason=\"needs a restart\"");
                 }
                 "log" => log::set_max_level(new.log.level),
-                "store" => drop(self.store.send_replace(new.store.clone())),
+                "store" => drop(self.store.send_replace(StoreAccess::from(&new))),
                 // The two calls below fail only while the process exits.
                 "peers" => {
                     let seeds = new.peers.seeds.clone();
                     drop(self.publisher.send(PublisherCommand::SetSeeds(seeds)).await);
                 }
-                "decisions" => drop(self.forwarder.tell(new.decisions.clone()).await),
+                "decisions" => {
+                    self.store.send_replace(StoreAccess::from(&new));
+                    drop(self.forwarder.tell(new.decisions.clone()).await);
+                }
                 _ => {}
             }
         }
--- a/daemon/src/dsr/run.rs
+++ b/daemon/src/dsr/run.rs
@@ -54,11 +54,12 @@
 };
 use crate::dsr::settings::{
     Settings,
-    StoreSettings, //
+    StoreAccess, //
 };
 use crate::dsr::store_watcher::{
     StoreUse,
-    StoreWatcher, //
+    StoreWatcher,
+    WatcherInputs, //
 };
 use crate::run::random;
 
@@ -195,7 +196,7 @@
     clock: Clock,
     forwarder: &ActorRef<Forwarder>,
     instruments: (Latencies, StoreCalls),
-) -> Result<(mpsc::Sender<PublisherCommand>, watch::Sender<StoreSettings>), RunError> {
+) -> Result<(mpsc::Sender<PublisherCommand>, watch::Sender<StoreAccess>), RunError> {
     let listener = TcpListener::bind(settings.listen.peers).await;
     let listener = listener.map_err(RunError::Peers)?;
     let (commands, received) = mpsc::channel(QUEUE_CAPACITY);
@@ -218,12 +219,15 @@
         incoming,
         revision,
     );
-    let (store_settings, latest) = watch::channel(settings.store.clone());
+    let (store_settings, latest) = watch::channel(StoreAccess::from(settings));
     let store_watcher = StoreWatcher::new(
-        latest,
+        clock,
+        WatcherInputs {
+            access: latest,
+            known: known.clone(),
+            store_use: used,
+        },
         commands.clone(),
-        known.clone(),
-        used,
         connected,
         instruments,
         random(),
--- a/daemon/src/dsr/settings.rs
+++ b/daemon/src/dsr/settings.rs
@@ -70,8 +70,8 @@
     /// Address of the store (HTTP).
     pub address: SocketAddrV4,
     /// Time that a watch waits for changes. Together with `answer_timeout`, it bounds the time
-    /// until an unresponsive connection is detected. The sum must be less than the 3 s in which
-    /// changes must be active, also where another instance passes them on.
+    /// until an unresponsive connection is detected. The sum is less than the bounds of the
+    /// decisions, also where another instance passes changes on.
     #[serde(with = "humantime_serde", default = "defaults::watch_wait")]
     pub watch_wait: Duration,
     /// Timeout of a call, for a watch beyond `watch_wait`. The store answers in 4 ms, and in a
@@ -90,6 +90,23 @@
     pub longest_pause: Duration,
 }
 
+/// What the task that calls the store goes by.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StoreAccess {
+    pub store: StoreSettings,
+    /// Age at which the view of the store breaks a rule.
+    pub max_age: Duration,
+}
+
+impl From<&Settings> for StoreAccess {
+    fn from(settings: &Settings) -> StoreAccess {
+        StoreAccess {
+            store: settings.store.clone(),
+            max_age: settings.decisions.max_age(),
+        }
+    }
+}
+
 /// Settings of the other instances.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -150,9 +167,26 @@
         name_problems(&names)
             .chain(range_problems(DSR_LIMITS, self))
             .chain(pairs)
+            .chain(self.slow_watch())
             .collect()
     }
 
+    /// Returns a description of a watch whose failure would be noticed only after the bounds of the
+    /// rules have passed.
+    fn slow_watch(&self) -> Option<String> {
+        let noticed = self
+            .store
+            .watch_wait
+            .saturating_add(self.store.answer_timeout);
+        let bound = self.decisions.max_age();
+        let allowed = format!(
+            "less than {bound:?} together with store.answer_timeout, the smaller of \
+             decisions.drain_bound and decisions.config_bound"
+        );
+        let value = format!("{:?}", self.store.watch_wait);
+        (noticed >= bound).then(|| problem("store.watch_wait", &value, &allowed))
+    }
+
     /// Returns pairs of durations of which the first must not exceed the second.
     fn ordered(&self) -> [(&'static str, Duration, &'static str, Duration); 3] {
         let (store, decisions) = (&self.store, &self.decisions);
--- a/daemon/src/dsr/store_watcher.rs
+++ b/daemon/src/dsr/store_watcher.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use lovagespindle_datagram::Clock;
+use lovagespindle_decisions::dsr::document_cache::Known;
+use lovagespindle_decisions::dsr::freshness::Freshness;
 use lovagespindle_decisions::dsr::store_update::{
     Document,
     DocumentUpdate,
@@ -24,6 +27,7 @@
 use tokio::time::{
     Instant,
     sleep,
+    sleep_until,
     timeout, //
 };
 
@@ -33,7 +37,10 @@
     StoreCalls, //
 };
 use crate::dsr::publisher::PublisherCommand;
-use crate::dsr::settings::StoreSettings;
+use crate::dsr::settings::{
+    StoreAccess,
+    StoreSettings, //
+};
 
 /// Time after which a connection breaks if the store does not acknowledge sent bytes.
 const ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -89,15 +96,28 @@
     started: Instant,
 }
 
-/// Watches the store while this instance is first in its zone, or has no other source.
+/// What other tasks tell the watcher.
+pub struct WatcherInputs {
+    /// Latest settings.
+    pub access: watch::Receiver<StoreAccess>,
+    /// What the document cache holds.
+    pub known: watch::Receiver<Option<Known>>,
+    /// What this instance calls the store for.
+    pub store_use: watch::Receiver<StoreUse>,
+}
+
+/// Watches the store while this instance is first in its zone, or has no other source. Also asks the
+/// store once whenever no other instance confirmed the documents in time.
 pub struct StoreWatcher {
+    clock: Clock,
+    freshness: Freshness,
     /// Active settings.
     settings: StoreSettings,
     /// Latest settings, which become active with the next connection.
-    latest: watch::Receiver<StoreSettings>,
+    latest: watch::Receiver<StoreAccess>,
     publisher: mpsc::Sender<PublisherCommand>,
-    /// Revision up to which the document cache is complete, from any source.
-    known: watch::Receiver<Option<Revision>>,
+    /// What the document cache holds, from any source.
+    known: watch::Receiver<Option<Known>>,
     /// What this instance calls the store for.
     store_use: watch::Receiver<StoreUse>,
     /// Set to whether the last call succeeded.
@@ -118,16 +138,24 @@
 impl StoreWatcher {
     /// Creates a watcher that sends updates to the publisher.
     pub fn new(
-        mut latest: watch::Receiver<StoreSettings>,
+        clock: Clock,
+        inputs: WatcherInputs,
         publisher: mpsc::Sender<PublisherCommand>,
-        known: watch::Receiver<Option<Revision>>,
-        store_use: watch::Receiver<StoreUse>,
         connected: watch::Sender<bool>,
         (latencies, calls): (Latencies, StoreCalls),
         seed: u64,
     ) -> StoreWatcher {
-        let settings = latest.borrow_and_update().clone();
+        let WatcherInputs {
+            access: mut latest,
+            known,
+            store_use,
+        } = inputs;
+        let settings = latest.borrow_and_update().store.clone();
+        let mut random = Pcg32::seed_from_u64(seed);
+        let spread = f64::from(random.next_u32()) / f64::from(u32::MAX);
         StoreWatcher {
+            clock,
+            freshness: Freshness::new(spread),
             retry_delay: settings.first_pause,
             settings,
             latest,
@@ -139,7 +167,7 @@
             snapshot: None,
             started: false,
             calls,
-            random: Pcg32::seed_from_u64(seed),
+            random,
             latencies,
         }
     }
@@ -147,21 +175,43 @@
     /// Watches the store until the publisher has stopped.
     pub async fn run(mut self) {
         while !self.publisher.is_closed() {
-            let started = self.started;
-            let used = self.store_use.wait_for(|store_use| match store_use {
-                StoreUse::Start => !started,
-                StoreUse::Watch => true,
-                StoreUse::None => false,
-            });
-            // Fails only while the process exits.
-            let _ = used.await;
-            self.settings = self.latest.borrow_and_update().clone();
+            self.wait_until_needed().await;
+            self.settings = self.latest.borrow_and_update().store.clone();
             if let Err(error) = self.watch().await {
                 self.handle_failure(&error).await;
             }
         }
     }
 
+    /// Waits until this instance has to call the store, or until the process exits.
+    async fn wait_until_needed(&mut self) {
+        loop {
+            let needed = match *self.store_use.borrow_and_update() {
+                StoreUse::Start => !self.started,
+                StoreUse::Watch => true,
+                StoreUse::None => false,
+            };
+            if needed {
+                return;
+            }
+            let known = *self.known.borrow_and_update();
+            let bound = self.latest.borrow().max_age;
+            let due = known.map(|known| self.freshness.call_at(known.confirmed, bound));
+            let due = due.map(|due| self.clock.instant(due));
+            let exits = tokio::select! {
+                changed = self.store_use.changed() => changed.is_err(),
+                changed = self.known.changed() => changed.is_err(),
+                () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {
+                    log::info!("event=store_asked reason=\"nobody confirmed the documents\"");
+                    return;
+                }
+            };
+            if exits {
+                return;
+            }
+        }
+    }
+
     async fn handle_failure(&mut self, error: &WatchError) {
         self.compacted |= matches!(error, WatchError::Store(StoreError::Compacted));
         let reason = error.to_string();
@@ -184,6 +234,7 @@
         let connecting = Store::connect(self.settings.address, ACK_TIMEOUT);
         let mut store = timeout(call_timeout, connecting).await??;
         let known = *self.known.borrow();
+        let known = known.map(|known| known.revision);
         let (mut known, mut wait) = match known.filter(|_| !self.compacted) {
             // The documents may have been read a while ago. A call that does not wait confirms them
             // before other instances take them for stale.
--- a/daemon/tests/store_watcher.rs
+++ b/daemon/tests/store_watcher.rs
@@ -6,11 +6,18 @@
 
 use lovagespindle_daemon::dsr::metrics::Instruments;
 use lovagespindle_daemon::dsr::publisher::PublisherCommand;
-use lovagespindle_daemon::dsr::settings::Settings;
+use lovagespindle_daemon::dsr::settings::{
+    Settings,
+    StoreAccess, //
+};
 use lovagespindle_daemon::dsr::store_watcher::{
     StoreUse,
-    StoreWatcher, //
+    StoreWatcher,
+    WatcherInputs, //
 };
+use lovagespindle_datagram::Clock;
+use lovagespindle_decisions::Time;
+use lovagespindle_decisions::dsr::document_cache::Known;
 use lovagespindle_decisions::dsr::store_update::{
     Revision,
     UpdateKind, //
@@ -33,6 +40,12 @@
     new_watcher_is_confirmed_at_once => check_known_documents();
     /// Guards against a second call where the documents were just read.
     first_read_is_not_confirmed_twice => check_first_read();
+    /// Guards against an instance that relies on a source which neither confirms the documents nor
+    /// fails: limits of the age, of patience for each hop and of waits added up to more than the 3 s
+    /// in which a change must be in force.
+    unconfirmed_documents_are_confirmed_by_the_store => check_unconfirmed_documents();
+    /// Guards against calls of the store by instances whose source confirms the documents.
+    confirmed_documents_cause_no_call => check_confirmed_documents();
 }
 
 async fn check_known_documents() {
@@ -58,12 +71,40 @@
     assert_eq!(run.next_update(Duration::from_millis(500)).await, None);
 }
 
-/// A watcher whose instance is first in its zone.
+/// Time within which a change must be in force.
+const BOUND: Duration = Duration::from_secs(3);
+
+async fn check_unconfirmed_documents() {
+    let store = StoreStandIn::start([127, 78, 103, 1])
+        .await
+        .expect("a store");
+    store.put_config(1, &[(SERVICE, "desk")]);
+    let mut run = Run::start_as(&store, Some(Revision(1)), StoreUse::None);
+    store.put_config(2, &[(SERVICE, "desk")]);
+    let confirmed = run.next_update(BOUND).await;
+    assert_eq!(confirmed, Some(UpdateKind::Delta(Revision(1))));
+}
+
+async fn check_confirmed_documents() {
+    let store = StoreStandIn::start([127, 78, 104, 1])
+        .await
+        .expect("a store");
+    store.put_config(1, &[(SERVICE, "desk")]);
+    let mut run = Run::start_as(&store, Some(Revision(1)), StoreUse::None);
+    for _ in 0..4 {
+        assert_eq!(run.next_update(Duration::from_secs(1)).await, None);
+        run.confirm(Revision(1));
+    }
+    assert_eq!(store.calls(), 0);
+}
+
+/// A running watcher.
 struct Run {
+    clock: Clock,
     commands: mpsc::Receiver<PublisherCommand>,
     /// Kept, as the watcher ends when its channels close.
-    _senders: (
-        watch::Sender<Option<Revision>>,
+    senders: (
+        watch::Sender<Option<Known>>,
         watch::Sender<StoreUse>,
         watch::Receiver<bool>,
         Instruments,
@@ -71,8 +112,14 @@
 }
 
 impl Run {
-    /// Starts a watcher whose document cache is complete up to `known`.
+    /// Starts a watcher whose instance is first in its zone, and whose document cache is complete up
+    /// to `known`.
     fn start(store: &StoreStandIn, known: Option<Revision>) -> Run {
+        Run::start_as(store, known, StoreUse::Watch)
+    }
+
+    /// Starts a watcher whose document cache is complete up to `known`.
+    fn start_as(store: &StoreStandIn, known: Option<Revision>, store_use: StoreUse) -> Run {
         let text = format!(
             "[instance]\nname = \"a\"\nzone = \"z\"\n[listen]\nclients = \"127.0.0.1:1\"\n\
              readiness = \"127.0.0.1:2\"\npeers = \"127.0.0.1:3\"\n[store]\naddress = \"{}\"\n\
@@ -82,30 +129,50 @@
         let settings = Settings::parse(&text, Path::new("test.toml")).expect("settings");
         let instruments = Instruments::new("a").expect("instruments");
         let (publisher, commands) = mpsc::channel(64);
-        let (_, latest) = watch::channel(settings.store);
+        let (_, latest) = watch::channel(StoreAccess::from(&settings));
+        let confirmed = Time::ZERO;
+        let known = known.map(|revision| Known {
+            revision,
+            confirmed,
+        });
         let (known, known_receiver) = watch::channel(known);
-        let (store_use, used) = watch::channel(StoreUse::Watch);
+        let (store_use, used) = watch::channel(store_use);
+        let clock = Clock::start();
         let (connected, connected_receiver) = watch::channel(false);
         let metrics = (
             instruments.latencies.clone(),
             instruments.store_calls.clone(),
         );
         let watcher = StoreWatcher::new(
-            latest,
+            clock,
+            WatcherInputs {
+                access: latest,
+                known: known_receiver,
+                store_use: used,
+            },
             publisher,
-            known_receiver,
-            used,
             connected,
             metrics,
             1,
         );
         tokio::spawn(watcher.run());
         Run {
+            clock,
             commands,
-            _senders: (known, store_use, connected_receiver, instruments),
+            senders: (known, store_use, connected_receiver, instruments),
         }
     }
 
+    /// Lets another instance confirm the documents.
+    fn confirm(&self, revision: Revision) {
+        let confirmed = self.clock.now();
+        let known = Known {
+            revision,
+            confirmed,
+        };
+        self.senders.0.send_replace(Some(known));
+    }
+
     /// Returns the kind of the next update, if one is published in time.
     async fn next_update(&mut self, limit: Duration) -> Option<UpdateKind> {
         match timeout(limit, self.commands.recv()).await.ok()?? {
--- a/decisions/src/dsr/document_cache.rs
+++ b/decisions/src/dsr/document_cache.rs
@@ -35,10 +35,27 @@
     last_confirmed: Option<Time>,
 }
 
+/// What an instance knows of the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Known {
+    /// The revision up to which the cache is complete.
+    pub revision: Revision,
+    /// Time at which the store last confirmed the contents.
+    pub confirmed: Time,
+}
+
 impl DocumentCache {
+    /// Returns what is known of the store, or `None` before the first update.
+    pub fn known(&self) -> Option<Known> {
+        self.last_confirmed.map(|confirmed| Known {
+            revision: self.revision,
+            confirmed,
+        })
+    }
+
     /// Returns the revision up to which the cache is complete, or `None` before the first update.
-    pub fn known(&self) -> Option<Revision> {
-        self.last_confirmed.map(|_| self.revision)
+    pub fn revision(&self) -> Option<Revision> {
+        self.known().map(|known| known.revision)
     }
 
     /// Returns the time since the store last confirmed the contents, or `None` if it never did.
--- a/decisions/src/dsr/mod.rs
+++ b/decisions/src/dsr/mod.rs
@@ -11,6 +11,7 @@
 pub mod document_cache;
 mod established;
 mod flows;
+pub mod freshness;
 mod handshake;
 mod isolation;
 mod passive_health;
--- a/decisions/tests/dsr/main.rs
+++ b/decisions/tests/dsr/main.rs
@@ -2,6 +2,7 @@
 
 mod flows;
 mod fresh_start;
+mod freshness;
 mod mass_restart;
 mod rig;
 mod server_loss;
--- a/decisions/tests/dsr_document_cache.rs
+++ b/decisions/tests/dsr_document_cache.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use lovagespindle_decisions::Time;
-use lovagespindle_decisions::dsr::document_cache::DocumentCache;
+use lovagespindle_decisions::dsr::document_cache::{
+    DocumentCache,
+    Known, //
+};
 use lovagespindle_decisions::dsr::store_update::{
     Document,
     DocumentUpdate,
@@ -72,7 +75,8 @@
     delta_after_a_gap_is_ignored => {
         let gap = update(&[document("later", 9, true)], 9, UpdateKind::Delta(Revision(8)));
         let cache = cache(&[update(&[document("held", 3, true)], 3, UpdateKind::Snapshot), gap]);
-        assert_eq!(cache.known(), Some(Revision(3)));
+        let known = Known { revision: Revision(3), confirmed: NOW };
+        assert_eq!(cache.known(), Some(known));
     }
 
     /// Guards against updates that repeat what the requester already knows.
--- a/scenarios/src/dsr/news.rs
+++ b/scenarios/src/dsr/news.rs
@@ -1,14 +1,16 @@
 //! How instances learn what the store holds: as the daemon's tasks do, one instance of a zone watches
 //! the store, and the others get updates from their parents in the zone's tree. Pages of the store,
-//! the wait for seeds and the last resort of the daemon are not modelled.
+//! and the wait for seeds are not modelled.
 
 use std::time::Duration;
 
 use lovagespindle_decisions::Time;
+use lovagespindle_decisions::dsr::freshness::Freshness;
 use lovagespindle_decisions::dsr::peers::{
     Peer,
     Source, //
 };
+use lovagespindle_decisions::dsr::settings::Settings;
 use lovagespindle_decisions::dsr::source_path::SourcePath;
 use lovagespindle_decisions::dsr::store_update::{
     DocumentUpdate,
@@ -192,7 +194,7 @@
                 let machine = &mut self.machines[key.0];
                 machine.peers.merge(now, &[me]);
                 let confirmed = machine.archive.age(now).map(|age| now - age);
-                if ask.names || is_news(&ask, machine.archive.known(), confirmed) {
+                if ask.names || is_news(&ask, machine.archive.revision(), confirmed) {
                     self.answer_from_machine(key, ask);
                 } else {
                     machine.follow.waiting.push(ask);
@@ -274,11 +276,11 @@
                 let now = self.now;
                 self.machines[key.0].peers.merge(now, &peers);
                 let age = bulletin.as_ref().map(|bulletin| bulletin.age);
-                let before = self.machines[key.0].archive.known();
+                let before = self.machines[key.0].archive.revision();
                 if let Some(bulletin) = bulletin {
                     self.learn(key, bulletin);
                 }
-                let changed = self.machines[key.0].archive.known() != before;
+                let changed = self.machines[key.0].archive.revision() != before;
                 self.go_on(ask, age, &path, changed);
             }
             Answer::Compacted => {
@@ -294,7 +296,7 @@
         self.machines[key.0].archive.apply(now, &bulletin);
         self.tell_mind(key, decode(bulletin));
         let machine = &mut self.machines[key.0];
-        let known = machine.archive.known();
+        let known = machine.archive.revision();
         let confirmed = machine.archive.age(now).map(|age| now - age);
         let news = |ask: &mut Ask| is_news(ask, known, confirmed);
         let ready: Vec<Ask> = machine.follow.waiting.extract_if(.., news).collect();
@@ -386,7 +388,7 @@
         if follow.store.is_some() || follow.served {
             return;
         }
-        let known = self.machines[key.0].archive.known();
+        let known = self.machines[key.0].archive.revision();
         self.ask(key, Recipient::Store, known, false);
     }
 
@@ -398,10 +400,25 @@
         self.send(ELECTION, Event::Elect(key, epoch));
         if self.machines[key.0].state == State::Up {
             self.ask_peer(key);
+            self.confirm(key);
             self.refresh(key);
         }
     }
 
+    /// Asks the store if nobody confirmed the documents in time.
+    fn confirm(&mut self, key: MachineKey) {
+        let machine = &self.machines[key.0];
+        let Some(known) = machine.archive.known() else {
+            return;
+        };
+        let bound = Settings::default().max_age();
+        let due = Freshness::new(0.0).call_at(known.confirmed, bound);
+        let thinks = !matches!(machine.mind, Mind::Omniscient);
+        if thinks && machine.follow.store.is_none() && self.now >= due {
+            self.ask(key, Recipient::Store, Some(known.revision), false);
+        }
+    }
+
     fn ask_peer(&mut self, key: MachineKey) {
         let now = self.now;
         let machine = &mut self.machines[key.0];
@@ -418,7 +435,7 @@
             self.send(Duration::ZERO, Event::Follow(key, epoch));
         }
         let machine = &self.machines[key.0];
-        let known = Some(machine.archive.known().unwrap_or_default());
+        let known = Some(machine.archive.revision().unwrap_or_default());
         if let Some(to) = to.and_then(|to| self.machine_at(to)) {
             self.ask(key, Recipient::Machine(to), known, false);
         }
