Count the time on the way in the age of an update

Cause: the age of an update was the one at the time when a reply was made; what the reply spent on the way or in the socket of a slow process was left out, at each instance that passed it on.

A reply now says how long its request waited, and the receiver adds the rest of the round trip to the age.

--- a/daemon/src/dsr/publisher.rs
+++ b/daemon/src/dsr/publisher.rs
@@ -86,6 +86,7 @@
 /// A request of another instance that waits for an update.
 struct LongPoll {
     incoming: IncomingRequest,
+    arrived: Time,
     deadline: Time,
     /// Time at which the store confirmed what the requester knows, if it did.
     confirmed: Option<Time>,
@@ -198,6 +199,7 @@
             let age = incoming.request.age;
             self.long_polls.push(LongPoll {
                 incoming,
+                arrived: now,
                 deadline: now + wait,
                 confirmed: age.map(|age| now - age),
             });
@@ -237,6 +239,7 @@
                 update,
                 peers,
                 path: self.path.clone(),
+                waited: now.since(poll.arrived),
             };
             // The connection may have been closed.
             let _ = poll.incoming.reply.send(reply);
--- a/daemon/src/dsr/store_watcher.rs
+++ b/daemon/src/dsr/store_watcher.rs
@@ -252,10 +252,17 @@
         };
         loop {
             self.calls.add(StoreCall::Watch);
+            let sent_at = Instant::now();
             let page = timeout(wait + call_timeout, store.watch(known, wait)).await??;
             self.started = true;
-            self.publish(page.documents, page.revision, UpdateKind::Delta(known))
-                .await;
+            let update = DocumentUpdate {
+                documents: page.documents,
+                revision: page.revision,
+                kind: UpdateKind::Delta(known),
+                // The store answers after `wait` at the latest; the rest was spent on the way.
+                age: sent_at.elapsed().saturating_sub(wait),
+            };
+            self.publish(update).await;
             wait = self.settings.watch_wait;
             let changed = known != page.revision;
             known = page.revision;
@@ -305,8 +312,13 @@
         let Some(snapshot) = self.snapshot.take() else {
             return Ok(None);
         };
-        self.publish(snapshot.documents, snapshot.at, UpdateKind::Snapshot)
-            .await;
+        let update = DocumentUpdate {
+            documents: snapshot.documents,
+            revision: snapshot.at,
+            kind: UpdateKind::Snapshot,
+            age: snapshot.started.elapsed(),
+        };
+        self.publish(update).await;
         self.compacted = false;
         Ok(Some(snapshot.at))
     }
@@ -380,14 +392,8 @@
         Ok(Vec::new())
     }
 
-    async fn publish(&mut self, documents: Vec<Document>, revision: Revision, kind: UpdateKind) {
-        self.set_connected(revision);
-        let update = DocumentUpdate {
-            documents,
-            revision,
-            kind,
-            age: Duration::ZERO,
-        };
+    async fn publish(&mut self, update: DocumentUpdate) {
+        self.set_connected(update.revision);
         // Fails only if the publisher has stopped, which `run` checks.
         let _ = self.publisher.send(PublisherCommand::Apply(update)).await;
     }
--- a/instances/src/sync.rs
+++ b/instances/src/sync.rs
@@ -69,6 +69,8 @@
     pub peers: Vec<Peer>,
     /// The instances between the replying one and the store.
     pub path: SourcePath,
+    /// Time for which the request waited at the replying instance.
+    pub waited: Duration,
 }
 
 /// Converts to milliseconds, saturating at `u32::MAX`.
@@ -162,6 +164,7 @@
         age,
         peers,
         path: reply.path.addresses().map(|at| at.to_string()).collect(),
+        waited: millis(reply.waited),
     };
     message.encode_to_vec().into()
 }
@@ -229,5 +232,6 @@
         update,
         peers: peers.collect::<Result<_, _>>()?,
         path: decode_path(&message.path)?,
+        waited: duration(message.waited),
     })
 }
--- a/instances/src/sync_link.rs
+++ b/instances/src/sync_link.rs
@@ -18,7 +18,10 @@
     mpsc,
     oneshot, //
 };
-use tokio::time::timeout;
+use tokio::time::{
+    Instant,
+    timeout, //
+};
 use tokio_util::codec::{
     Framed,
     LengthDelimitedCodec, //
@@ -91,13 +94,21 @@
         })
     }
 
-    /// Sends a request and waits for its reply.
+    /// Sends a request and waits for its reply. All of the time that the request did not wait at the
+    /// other instance is added to the age of the update: how much of it the reply took is unknown,
+    /// and ages must not be too low.
     ///
     /// Returns an error if the connection breaks or is closed, the reply is invalid, or the time
     /// limit expires. Do not use the client after an error: a late reply would be taken for the
     /// reply to the next request.
     pub async fn call(&mut self, request: &Request) -> Result<Reply, SyncError> {
-        timeout(request.max_wait + self.timeout, self.exchange(request)).await?
+        let sent_at = Instant::now();
+        let limit = request.max_wait + self.timeout;
+        let mut reply = timeout(limit, self.exchange(request)).await??;
+        if let Some(update) = &mut reply.update {
+            update.age += sent_at.elapsed().saturating_sub(reply.waited);
+        }
+        Ok(reply)
     }
 
     async fn exchange(&mut self, request: &Request) -> Result<Reply, SyncError> {
