Do not retransmit a SYN to a backend server that may not get flows

A SYN that the client sends again, up to 600 ms later, went to the backend server of the first one even if that server is draining, cold, removed or in an evacuated zone by now. So 0.6 s added up with the age of the view.

The SYN now goes to another backend server, or is dropped if there is none: the first copy may still open the flow, so that a reset would be wrong.

retransmitted_syn_avoids_a_server_that_may_not_open_flows failed before (Open at the leaving server).

--- a/decisions/src/dsr/syn.rs
+++ b/decisions/src/dsr/syn.rs
@@ -190,8 +190,8 @@
         Verdict::Open(target)
     }
 
-    /// Handles a retransmitted SYN: tries a further backend server if the last attempt timed out,
-    /// and otherwise sends the SYN to the same one again.
+    /// Handles a retransmitted SYN: tries a further backend server if the last attempt timed out, or
+    /// if its server may get no flows any more, and otherwise sends the SYN to the same one again.
     fn reopen(&mut self, now: Time, key: FlowKey) -> Verdict {
         let Some(flow) = self.flows.get_mut(key).cloned() else {
             return Verdict::Drop;
@@ -199,8 +199,11 @@
         let Stage::Opening(attempts) = &flow.stage else {
             return Verdict::Drop;
         };
-        let waiting = attempts.last().filter(|last| !last.timed_out);
-        let choice = if waiting.is_some() || attempts.len() >= MAX_ATTEMPTS {
+        let may_open = attempts
+            .last()
+            .is_some_and(|last| self.may_open(now, last.server));
+        let waits = attempts.last().is_some_and(|last| !last.timed_out);
+        let choice = if may_open && waits || attempts.len() >= MAX_ATTEMPTS {
             None
         } else {
             self.choose(now, &flow.service, &flow.servers())
@@ -210,10 +213,17 @@
                 self.counts.add(Count::Reopened);
                 self.send_syn(now, Some(key), flow, server, tier, Cause::Retransmit)
             }
-            None => self.retransmit(&flow),
+            None if may_open => self.retransmit(&flow),
+            None => Verdict::Drop,
         }
     }
 
+    /// Returns whether a backend server may still get new flows.
+    fn may_open(&self, now: Time, server: ServerKey) -> bool {
+        let server = self.view.servers.get(server);
+        server.is_some_and(|server| self.placement(now).tier(server).is_some())
+    }
+
     /// Sends the SYN to the backend server of the last attempt again.
     fn retransmit(&self, flow: &Flow) -> Verdict {
         let last = flow.servers().last().copied();
@@ -243,7 +253,17 @@
         service: &str,
         tried: &[ServerKey],
     ) -> Option<(ServerKey, Tier)> {
-        let context = PlacementContext {
+        // The random generator changes while the context is in use.
+        let mut random = self.random.clone();
+        let context = self.placement(now);
+        let choice = choose(&self.view.servers, service, tried, &context, &mut random);
+        self.random = random;
+        choice
+    }
+
+    /// Returns the inputs of placements that all backend servers have in common.
+    fn placement(&self, now: Time) -> PlacementContext<'_> {
+        PlacementContext {
             now,
             zone: &self.zone,
             evacuated: &self.view.evacuated,
@@ -251,8 +271,6 @@
             max_warmup: self.view.warmup(),
             settings: &self.settings,
             zone_health: &self.zone_health,
-        };
-        let servers = &self.view.servers;
-        choose(servers, service, tried, &context, &mut self.random)
+        }
     }
 }
--- a/decisions/tests/dsr/flows.rs
+++ b/decisions/tests/dsr/flows.rs
@@ -46,6 +46,29 @@
         }
     }
 
+    /// Guards against a retransmitted SYN that goes to the backend server chosen for the first one,
+    /// although that server may not get new flows by now.
+    retransmitted_syn_avoids_a_server_that_may_not_open_flows => {
+        let mut leaving = entry(1, "a");
+        leaving.draining = true;
+        let mut cold = entry(1, "a");
+        cold.warmup_left = ms(2_000);
+        let changes = [
+            Change::Server("s1".into(), leaving),
+            Change::Server("s1".into(), cold),
+            Change::ZoneEvacuated("a".into()),
+        ];
+        for change in changes {
+            let mut rig = Rig::new();
+            rig.serve_only(&[(1, "a")]);
+            assert_eq!(rig.open().identity, 1);
+            rig.apply(change);
+            assert_eq!(rig.retransmit(), Verdict::Drop);
+            rig.apply(Change::Server("s3".into(), entry(3, "b")));
+            assert!(matches!(rig.retransmit(), Verdict::Open(target) if target.identity == 3));
+        }
+    }
+
     /// Guards against a new instance that treats the backend servers of a restored zone as warm,
     /// although they have not written their entries since.
     new_instance_waits_for_a_restored_zone => {
--- a/decisions/tests/dsr/rig.rs
+++ b/decisions/tests/dsr/rig.rs
@@ -341,7 +341,7 @@
     }
 
     /// Retransmits the SYN of the last flow.
-    pub(crate) fn retransmit(&mut self) {
+    pub(crate) fn retransmit(&mut self) -> Verdict {
         let flow = self.last_flow.expect("a flow was opened");
         let syn = Syn {
             sequence: 7,
@@ -349,7 +349,7 @@
             checksum: 9,
         };
         let retransmission = segment(flow, SegmentKind::Syn(syn), Tag::default());
-        self.balancer.packet(self.now, &retransmission);
+        self.balancer.packet(self.now, &retransmission)
     }
 
     /// Opens a flow and returns the zone of its backend server.
