Compare revisions of the store by its era first

Callers on routes that a confirmed configuration dropped were still served, and new routes were not, after the store had been restored from a copy.

Cause: revisions were taken for unique over the life of the store. A watch could also go on in the new history without noticing.

A revision now has the era that the header Store-Era names, compared before the number. A watch answered in another era fails and all documents are read again; pages of two eras are not joined; requests and replies between instances carry the era, and an instance of a later era gets nothing from one of an earlier era.

Ruled out: dropping the view at a restoration, as the copy is older than what instances know; lowering the known revision without an era, as a follower cannot tell which of two histories its parent speaks of.

--- a/daemon/src/dsr/decision_log.rs
+++ b/daemon/src/dsr/decision_log.rs
@@ -12,6 +12,7 @@
     Counts, //
 };
 use lovagespindle_decisions::dsr::decision::Decision;
+use lovagespindle_decisions::dsr::store_update::Revision;
 use lovagespindle_platform::PacketError;
 
 use crate::dsr::metrics::Latencies;
@@ -28,7 +29,7 @@
 struct Registrations {
     states: BTreeMap<&'static str, usize>,
     /// The latest revision among them.
-    revision: u64,
+    revision: Revision,
 }
 
 impl Registrations {
@@ -42,7 +43,7 @@
             } = decision
             {
                 *counts.states.entry(registration).or_default() += 1;
-                counts.revision = counts.revision.max(revision.0);
+                counts.revision = counts.revision.max(*revision);
             }
         }
         counts
@@ -227,10 +228,7 @@
             version,
             count,
             revision,
-        } => log::info!(
-            "event=routes version={version} routes={count} revision={}",
-            revision.0
-        ),
+        } => log::info!("event=routes version={version} routes={count} revision={revision}"),
         Decision::Registration {
             server,
             zone,
@@ -238,9 +236,8 @@
             warmup_left,
             revision,
         } => log::info!(
-            "event=listing server={server} zone={zone} listing={registration} cold_ms={:.0} revision={}",
+            "event=listing server={server} zone={zone} listing={registration} cold_ms={:.0} revision={revision}",
             millis(warmup_left),
-            revision.0
         ),
         Decision::InvalidEntry { server, reason } => {
             log::warn!("event=entry_unreadable server={server} reason={reason:?}");
@@ -257,10 +254,7 @@
             zone,
             evacuated,
             revision,
-        } => log::info!(
-            "event=zone zone={zone} out={evacuated} revision={}",
-            revision.0
-        ),
+        } => log::info!("event=zone zone={zone} out={evacuated} revision={revision}"),
         Decision::ViewAge { stale, age } => {
             log::warn!("event=view_age stale={stale} age_ms={:.0}", millis(age));
         }
--- a/daemon/src/dsr/publisher.rs
+++ b/daemon/src/dsr/publisher.rs
@@ -267,7 +267,7 @@
             Err(error) => log::warn!(
                 "event=document_unreadable key={:?} revision={} reason={:?}",
                 document.key,
-                document.revision.0,
+                document.revision,
                 error.to_string()
             ),
         }
--- a/daemon/src/dsr/store_watcher.rs
+++ b/daemon/src/dsr/store_watcher.rs
@@ -122,8 +122,9 @@
     store_use: watch::Receiver<StoreUse>,
     /// Set to whether the last call succeeded.
     connected: watch::Sender<bool>,
-    /// Whether the store no longer keeps the changes after the known revision.
-    compacted: bool,
+    /// Whether the store cannot tell the changes after the known revision: it no longer keeps them, or
+    /// it was restored from a copy.
+    outdated: bool,
     /// The snapshot whose remaining pages are not read yet. A failed call does not drop it.
     snapshot: Option<Snapshot>,
     /// Whether what is needed at the start was read.
@@ -163,7 +164,7 @@
             known,
             store_use,
             connected,
-            compacted: false,
+            outdated: false,
             snapshot: None,
             started: false,
             calls,
@@ -213,7 +214,13 @@
     }
 
     async fn handle_failure(&mut self, error: &WatchError) {
-        self.compacted |= matches!(error, WatchError::Store(StoreError::Compacted));
+        if let WatchError::Store(StoreError::Restored(era)) = error {
+            log::warn!("event=store_restored era={era}");
+        }
+        self.outdated |= matches!(
+            error,
+            WatchError::Store(StoreError::Compacted | StoreError::Restored(_))
+        );
         let reason = error.to_string();
         if self.connected.send_replace(false) {
             log::warn!("event=store_lost reason={reason:?}");
@@ -235,7 +242,7 @@
         let mut store = timeout(call_timeout, connecting).await??;
         let known = *self.known.borrow();
         let known = known.map(|known| known.revision);
-        let (mut known, mut wait) = match known.filter(|_| !self.compacted) {
+        let (mut known, mut wait) = match known.filter(|_| !self.outdated) {
             // The documents may have been read a while ago. A call that does not wait confirms them
             // before other instances take them for stale.
             Some(known) => {
@@ -303,6 +310,10 @@
             }
             self.calls.add(StoreCall::Page);
             let page = timeout(PAGE_TIMEOUT, store.read(Some(&next))).await??;
+            if page.revision.era != snapshot.at.era {
+                self.snapshot = None;
+                return Err(StoreError::Restored(page.revision.era).into());
+            }
             if let Some(snapshot) = &mut self.snapshot {
                 snapshot.documents.extend(page.documents);
                 snapshot.next = page.next;
@@ -319,7 +330,7 @@
             age: snapshot.started.elapsed(),
         };
         self.publish(update).await;
-        self.compacted = false;
+        self.outdated = false;
         Ok(Some(snapshot.at))
     }
 
@@ -362,7 +373,7 @@
 
     fn set_connected(&mut self, revision: Revision) {
         if !self.connected.send_replace(true) {
-            log::info!("event=store_connected revision={}", revision.0);
+            log::info!("event=store_connected revision={revision}");
         }
         self.retry_delay = self.settings.first_pause;
     }
@@ -376,7 +387,10 @@
         at: Revision,
     ) -> Result<Vec<Document>, WatchError> {
         for back in LOOKBACKS {
-            let after = Revision(at.0.saturating_sub(back));
+            let after = Revision {
+                number: at.number.saturating_sub(back),
+                ..at
+            };
             self.calls.add(StoreCall::History);
             let call = store.zone_changes(after);
             match timeout(self.settings.answer_timeout, call).await? {
@@ -388,7 +402,7 @@
                 Err(error) => return Err(error.into()),
             }
         }
-        log::info!("event=history_unknown revision={}", at.0);
+        log::info!("event=history_unknown revision={at}");
         Ok(Vec::new())
     }
 
--- a/daemon/tests/dsr.rs
+++ b/daemon/tests/dsr.rs
@@ -142,7 +142,6 @@
 
     /// Guards against instances that ignore the changes after the store was restored from a copy,
     /// because revisions are given out again.
-    #[ignore = "KNOWN-RED.txt, issue 21"]
     changes_arrive_after_the_store_was_restored(20, fleet) => {
         let first = fleet.start_daemon(&[]).await;
         let second = fleet.start_daemon(&[first]).await;
--- a/daemon/tests/store_watcher.rs
+++ b/daemon/tests/store_watcher.rs
@@ -60,9 +60,9 @@
         .await
         .expect("a store");
     store.put_config(1, &[(SERVICE, "desk")]);
-    let mut run = Run::start(&store, Some(Revision(1)));
+    let mut run = Run::start(&store, Some(Revision::from(1)));
     let confirmed = run.next_update(Duration::from_millis(500)).await;
-    assert_eq!(confirmed, Some(UpdateKind::Delta(Revision(1))));
+    assert_eq!(confirmed, Some(UpdateKind::Delta(Revision::from(1))));
     // The next watch waits for changes.
     assert_eq!(run.next_update(Duration::from_millis(500)).await, None);
 }
@@ -86,10 +86,10 @@
         .await
         .expect("a store");
     store.put_config(1, &[(SERVICE, "desk")]);
-    let mut run = Run::start_as(&store, Some(Revision(1)), StoreUse::None);
+    let mut run = Run::start_as(&store, Some(Revision::from(1)), StoreUse::None);
     store.put_config(2, &[(SERVICE, "desk")]);
     let confirmed = run.next_update(BOUND).await;
-    assert_eq!(confirmed, Some(UpdateKind::Delta(Revision(1))));
+    assert_eq!(confirmed, Some(UpdateKind::Delta(Revision::from(1))));
 }
 
 async fn check_late_answers() {
@@ -99,7 +99,7 @@
     store.put_config(1, &[(SERVICE, "desk")]);
     let delay = Duration::from_millis(300);
     store.set_fault(Fault::Slow(delay));
-    let mut run = Run::start(&store, Some(Revision(1)));
+    let mut run = Run::start(&store, Some(Revision::from(1)));
     let update = run.update(Duration::from_secs(1)).await.expect("an update");
     assert!(update.age >= delay, "{:?}", update.age);
 }
@@ -109,10 +109,10 @@
         .await
         .expect("a store");
     store.put_config(1, &[(SERVICE, "desk")]);
-    let mut run = Run::start_as(&store, Some(Revision(1)), StoreUse::None);
+    let mut run = Run::start_as(&store, Some(Revision::from(1)), StoreUse::None);
     for _ in 0..4 {
         assert_eq!(run.next_update(Duration::from_secs(1)).await, None);
-        run.confirm(Revision(1));
+        run.confirm(Revision::from(1));
     }
     assert_eq!(store.calls(), 0);
 }
--- a/decisions/src/dsr/document_cache.rs
+++ b/decisions/src/dsr/document_cache.rs
@@ -121,7 +121,9 @@
             (UpdateKind::Snapshot, held.chain(removed).cloned().collect())
         } else {
             let newer = self.recent.iter().filter(|d| d.revision > known);
-            (UpdateKind::Delta(known), newer.cloned().collect())
+            // The requester may know more, even of a later era.
+            let base = known.min(self.revision);
+            (UpdateKind::Delta(base), newer.cloned().collect())
         };
         Some(DocumentUpdate {
             documents,
--- a/decisions/src/dsr/store_update.rs
+++ b/decisions/src/dsr/store_update.rs
@@ -1,5 +1,6 @@
 //! Updates of the store: decoded changes, and raw documents for other instances.
 
+use std::fmt;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,8 +10,32 @@
 use super::routes::RouteTable;
 
 /// A revision of the store. It increases with each change.
+///
+/// A store that was restored from a copy gives out numbers again, in a later era. Revisions of an
+/// earlier era do not tell which changes of a later one are known.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-pub struct Revision(pub u64);
+pub struct Revision {
+    /// Number of times that the store was restored. Compared before the number.
+    pub era: u64,
+    pub number: u64,
+}
+
+impl From<u64> for Revision {
+    /// Returns a revision of a store that was never restored.
+    fn from(number: u64) -> Revision {
+        Revision { era: 0, number }
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.number)?;
+        match self.era {
+            0 => Ok(()),
+            era => write!(f, " era={era}"),
+        }
+    }
+}
 
 /// A change with its revision.
 #[derive(Clone, Debug)]
--- a/decisions/src/dsr/store_view.rs
+++ b/decisions/src/dsr/store_view.rs
@@ -212,7 +212,7 @@
             },
             entry: entry.clone(),
             registration: Registration::Ready,
-            revision: Revision(0),
+            revision: Revision::default(),
             warm_at: Time::ZERO,
             zone_restored: None,
             health: PassiveHealth::new(),
--- a/decisions/tests/dsr/rig.rs
+++ b/decisions/tests/dsr/rig.rs
@@ -146,7 +146,7 @@
     }
 
     fn apply_snapshot(&mut self, servers: &[(u64, &str)], kind: UpdateKind) {
-        let revision = Revision(self.revision);
+        let revision = Revision::from(self.revision);
         let servers = servers.iter().map(|(number, zone)| {
             Change::Server(format!("s{number}").into(), entry(*number, zone))
         });
@@ -166,7 +166,7 @@
     /// their entries. The removal precedes older changes, as it may in a snapshot.
     pub(crate) fn serve_after_restore(&mut self, zone: &str) {
         let restored = Revisioned {
-            revision: Revision(2),
+            revision: Revision::from(2),
             change: Change::ZoneRestored(zone.into()),
         };
         let servers = [(1, "a"), (2, "a"), (3, "b"), (4, "b")];
@@ -175,7 +175,7 @@
         });
         let routes = Change::Routes(table(1, &[SERVICE]));
         let revisioned = |change| Revisioned {
-            revision: Revision(1),
+            revision: Revision::from(1),
             change,
         };
         self.revision = 2;
@@ -184,7 +184,7 @@
                 .into_iter()
                 .chain(servers.chain([routes]).map(revisioned))
                 .collect(),
-            revision: Revision(2),
+            revision: Revision::from(2),
             kind: UpdateKind::Snapshot,
             age: Duration::ZERO,
         };
@@ -211,11 +211,11 @@
 
     pub(crate) fn apply(&mut self, change: Change) {
         self.revision += 1;
-        let revision = Revision(self.revision);
+        let revision = Revision::from(self.revision);
         let update = StoreUpdate {
             changes: vec![Revisioned { revision, change }],
             revision,
-            kind: UpdateKind::Delta(Revision(self.revision - 1)),
+            kind: UpdateKind::Delta(Revision::from(self.revision - 1)),
             age: Duration::ZERO,
         };
         self.balancer.apply_update(self.now, update);
@@ -223,7 +223,7 @@
 
     /// Applies an update that confirms the current revision without changes.
     pub(crate) fn confirm(&mut self) {
-        let revision = Revision(self.revision);
+        let revision = Revision::from(self.revision);
         let update = StoreUpdate {
             changes: Vec::new(),
             revision,
--- a/instances/src/sync.rs
+++ b/instances/src/sync.rs
@@ -106,11 +106,13 @@
 }
 
 pub fn encode_request(request: &Request) -> Bytes {
+    let known = match request.query {
+        Query::Peers => Revision::default(),
+        Query::Since(known) => known,
+    };
     let message = NewsRequest {
-        known: match request.query {
-            Query::Peers => 0,
-            Query::Since(known) => known.0,
-        },
+        known: known.number,
+        era: known.era,
         peers_only: request.query == Query::Peers,
         wait: millis(request.max_wait),
         sender: Some(encode_peer(&request.sender)),
@@ -131,7 +133,10 @@
         query: if message.peers_only {
             Query::Peers
         } else {
-            Query::Since(Revision(message.known))
+            Query::Since(Revision {
+                era: message.era,
+                number: message.known,
+            })
         },
         max_wait: duration(message.wait),
         sender: decode_peer(&sender)?,
@@ -140,7 +145,7 @@
     })
 }
 
-/// Encodes a reply. Leaves out peers beyond the number that a reply may carry.
+/// Encodes a reply. All revisions of an update have one era, as a delta never spans two. Leaves out peers beyond the number that a reply may carry.
 pub fn encode_reply(reply: Reply) -> Bytes {
     let peers = reply
         .peers
@@ -153,11 +158,12 @@
     let documents = update.documents.into_iter().map(encode_document).collect();
     let (documents, packed) = pack(documents);
     let message = NewsReply {
-        at: update.revision.0,
+        at: update.revision.number,
+        era: update.revision.era,
         after: match update.kind {
             // Parts are not passed on.
             UpdateKind::Snapshot | UpdateKind::Part => None,
-            UpdateKind::Delta(base) => Some(base.0),
+            UpdateKind::Delta(base) => Some(base.number),
         },
         documents,
         packed,
@@ -195,7 +201,7 @@
 fn encode_document(document: Document) -> generated::Document {
     generated::Document {
         key: (*document.key).to_owned(),
-        revision: document.revision.0,
+        revision: document.revision.number,
         value: document.value,
     }
 }
@@ -214,17 +220,24 @@
     if let Some(packed) = &message.packed {
         documents.append(&mut unpack(packed)?);
     }
+    let era = message.era;
     let documents = documents.into_iter().map(|document| Document {
         key: document.key.into(),
-        revision: Revision(document.revision),
+        revision: Revision {
+            era,
+            number: document.revision,
+        },
         value: document.value,
     });
     let documents = documents.collect();
     let update = message.age.map(|age| DocumentUpdate {
         documents,
-        revision: Revision(message.at),
+        revision: Revision {
+            era,
+            number: message.at,
+        },
         kind: message.after.map_or(UpdateKind::Snapshot, |base| {
-            UpdateKind::Delta(Revision(base))
+            UpdateKind::Delta(Revision { era, number: base })
         }),
         age: duration(age),
     });
--- a/instances/tests/sync.rs
+++ b/instances/tests/sync.rs
@@ -62,13 +62,13 @@
 fn reply(kind: UpdateKind) -> Reply {
     let document = |key: &str, value: Option<&'static [u8]>| Document {
         key: key.into(),
-        revision: Revision(9),
+        revision: Revision::from(9),
         value: value.map(Into::into),
     };
     Reply {
         update: Some(DocumentUpdate {
             documents: vec![document("put", Some(b"x")), document("removed", None)],
-            revision: Revision(9),
+            revision: Revision::from(9),
             kind,
             age: Duration::from_millis(40),
         }),
@@ -78,11 +78,22 @@
     }
 }
 
+/// Returns a reply with the documents of a store that was restored.
+fn reply_after_restoration() -> Reply {
+    let mut reply = reply(UpdateKind::Snapshot);
+    if let Some(update) = &mut reply.update {
+        update.revision.era = 2;
+        update.documents.iter_mut().for_each(|d| d.revision.era = 2);
+    }
+    reply
+}
+
 fn check_requests() {
     for query in [
         Query::Peers,
-        Query::Since(Revision(0)),
-        Query::Since(Revision(7)),
+        Query::Since(Revision::from(0)),
+        Query::Since(Revision::from(7)),
+        Query::Since(Revision { era: 3, number: 7 }),
     ] {
         let request = request(query);
         assert_eq!(decode_request(encode_request(&request)), Ok(request));
@@ -98,7 +109,8 @@
     };
     for reply in [
         reply(UpdateKind::Snapshot),
-        reply(UpdateKind::Delta(Revision(3))),
+        reply(UpdateKind::Delta(Revision::from(3))),
+        reply_after_restoration(),
         none,
     ] {
         assert_eq!(decode_reply(encode_reply(reply.clone())), Ok(reply));
@@ -110,7 +122,7 @@
     let mut reply = reply(UpdateKind::Snapshot);
     let documents = (0..3_000).map(|number| Document {
         key: format!("servers/i-{number:010x}").into(),
-        revision: Revision(number),
+        revision: Revision::from(number),
         value: Some(
             format!("{{\"Service\":\"desk\",\"Zone\":\"a\",\"Address\":\"10.0.0.{number}\"}}")
                 .into(),
@@ -155,7 +167,7 @@
         .await
         .expect("connect");
     for _ in 0..2 {
-        let result = client.call(&request(Query::Since(Revision(1)))).await;
+        let result = client.call(&request(Query::Since(Revision::from(1)))).await;
         let received = result.expect("receive a reply");
         // The time on the way is added to the age.
         let mut expected = reply(UpdateKind::Snapshot);
@@ -194,7 +206,7 @@
         }
     });
     let client = SyncClient::connect(address, TIMEOUT).await;
-    let request = request(Query::Since(Revision(1)));
+    let request = request(Query::Since(Revision::from(1)));
     let result = client.expect("connect").call(&request).await;
     result
         .expect("receive a reply")
--- a/scenarios/src/dsr/store.rs
+++ b/scenarios/src/dsr/store.rs
@@ -43,7 +43,7 @@
 impl Store {
     /// Writes or removes a document.
     pub(super) fn write(&mut self, written: DocumentWrite) {
-        self.revision.0 += 1;
+        self.revision.number += 1;
         let document = Document {
             key: written.key.into(),
             revision: self.revision,
