Keep what is newer than the copy that the store was restored from

A restored store holds entries and evacuations of some seconds ago until their writers have written them again. Instances took the copy as it was: a backend server that had said that it leaves, or had left, got flows again; a zone that operators had evacuated got packets again; and the flows of a server that was about to leave, and whose entry the copy did not have, were reset.

The store's revisions order changes within one history only. The writers' own numbers go on: the version of the configuration, which was honoured already, and the start and the sequence of a backend server, which were ignored.

A missing entry makes a server the last choice, as after an expiry, unless it was about to leave. A missing evacuation stays until the view has been confirmed for the time in which lapsed entries return.

--- a/daemon/tests/dsr.rs
+++ b/daemon/tests/dsr.rs
@@ -160,12 +160,11 @@
 
     /// Guards against a backend server that has left and is used again, because the copy from which
     /// the store was restored is older than its leaving.
-    #[ignore = "KNOWN-RED.txt, issue 21"]
     server_that_left_stays_out_after_the_store_was_restored(21, fleet) => {
         let daemon = fleet.start_daemon(&[]).await;
         fleet.wait_until_ready(daemon, true).await;
         let copy = fleet.store.copy();
-        fleet.put_server(0, true);
+        fleet.drain_server(0);
         fleet.wait_for_line_of(daemon, "server=i-1 zone=a listing=draining").await;
         fleet.store.restore(copy);
         // A change of the restored store shows that the instance has read it.
--- a/daemon/tests/dsr_fleet/mod.rs
+++ b/daemon/tests/dsr_fleet/mod.rs
@@ -131,16 +131,17 @@
         self.store.put_config(version, &[(SERVICE, "desk")]);
     }
 
-    /// Writes the entry of a backend server, as one that leaves or not.
-    pub(crate) fn put_server(&self, server: u8, draining: bool) {
+    /// Writes a further entry of a backend server, as one that leaves.
+    pub(crate) fn drain_server(&self, server: u8) {
         let host = Ipv4Addr::new(127, 78, self.network, 10 + server);
         let state = ServerState {
             service: "desk",
             address: SocketAddrV4::new(host, 8_080),
             zone: "a",
             slots: 4,
-            draining,
+            draining: true,
             warmup_left: Duration::ZERO,
+            sequence: 2,
         };
         self.store
             .write(documents::server(u64::from(server) + 1, &state));
--- a/daemon/tests/dsr_soak/mod.rs
+++ b/daemon/tests/dsr_soak/mod.rs
@@ -72,6 +72,8 @@
     version: u64,
     /// Latest identity given to a backend server.
     last_identity: u32,
+    /// Number of entries that backend servers wrote.
+    entries_written: u64,
     random: Pcg32,
     /// Daemons to which the routers send packets, as their last readiness check succeeded.
     in_rotation: [bool; DAEMONS],
@@ -126,6 +128,7 @@
             }],
             version: 10,
             last_identity: 100,
+            entries_written: 0,
             random: Pcg32::seed_from_u64(seed),
             in_rotation: [false; DAEMONS],
             last_disturbed: [now; DAEMONS],
@@ -225,6 +228,7 @@
 
     /// Writes the entry of a backend server to the store.
     fn register(&mut self, n: usize) {
+        self.entries_written += 1;
         let backend = &self.servers[n];
         let SocketAddr::V4(address) = backend.socket.local_addr().unwrap() else {
             return;
@@ -236,6 +240,7 @@
             slots: 4,
             draining: backend.drained.is_some(),
             warmup_left: Duration::ZERO,
+            sequence: self.entries_written,
         };
         self.fleet
             .store
--- a/decisions/src/dsr/store_update.rs
+++ b/decisions/src/dsr/store_update.rs
@@ -44,9 +44,19 @@
     pub change: T,
 }
 
+/// The order of the entries that one backend server writes, which a restored store does not change.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct EntryVersion {
+    /// Unix time of the server's start in milliseconds, 0 if it does not say.
+    pub born: u64,
+    /// Rises with each entry that the server writes, from its start on.
+    pub sequence: u64,
+}
+
 /// The entry that a backend server writes about itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServerEntry {
+    pub version: EntryVersion,
     /// The name of its service.
     pub service: Arc<str>,
     /// The number that distinguishes it from other servers at the same address.
--- a/decisions/src/dsr/store_view.rs
+++ b/decisions/src/dsr/store_view.rs
@@ -52,6 +52,9 @@
     stale: bool,
     /// The time since which the store has confirmed the view without a long gap.
     steady_since: Time,
+    /// Zones that were evacuated when the store was restored from a copy that does not say so.
+    /// Operators write them again if they still are.
+    unconfirmed: HashSet<Arc<str>>,
     /// Backend servers whose entries were removed, and whose open flows were not reset since.
     pub(super) removed: Vec<ServerKey>,
     /// The revision up to which the view is complete.
@@ -91,19 +94,24 @@
     /// Applies an update. The view is complete up to its revision, so older changes are skipped,
     /// and a delta that starts after it is ignored, because changes in between would be lost.
     pub(super) fn apply(&mut self, now: Time, mut update: StoreUpdate, log: &mut Vec<Decision>) {
+        let restored = self.is_complete() && update.revision.era > self.revision.era;
         match update.kind {
             UpdateKind::Delta(base) if base > self.revision => return,
             UpdateKind::Part => return self.apply_part(now, update, log),
             UpdateKind::Snapshot if update.revision > self.revision => {
                 update.changes.sort_by_key(|change| change.revision);
-                self.remove_missing(now, &update, log);
+                self.remove_missing(now, &update, restored, log);
+                if restored {
+                    self.skip_outdated(&mut update.changes);
+                }
             }
             UpdateKind::Delta(_) | UpdateKind::Snapshot => {}
         }
         let confirmed = now - update.age;
-        if self
-            .last_confirmed
-            .is_none_or(|last| confirmed.since(last) >= MAX_GAP)
+        if restored
+            || self
+                .last_confirmed
+                .is_none_or(|last| confirmed.since(last) >= MAX_GAP)
         {
             self.steady_since = confirmed;
         }
@@ -115,6 +123,19 @@
         self.revision = self.revision.max(update.revision);
     }
 
+    /// Leaves out the entries of a restored store that are not newer than what their servers wrote
+    /// before: a server that has left, or is about to, must not be used again. The servers stay as
+    /// they are until they write their entries again.
+    fn skip_outdated(&self, changes: &mut Vec<Revisioned<Change>>) {
+        changes.retain(|change| {
+            let Change::Server(id, entry) = &change.change else {
+                return true;
+            };
+            let known = self.servers.find(id).and_then(|key| self.servers.get(key));
+            known.is_none_or(|known| known.entry.version < entry.version)
+        });
+    }
+
     /// Applies the first documents of a snapshot, with which the instance can serve until the rest
     /// arrives. They do not count as confirmed, because the view is not complete.
     fn apply_part(&mut self, now: Time, update: StoreUpdate, log: &mut Vec<Decision>) {
@@ -144,6 +165,7 @@
                 }
             }
             Change::ZoneEvacuated(zone) => {
+                self.unconfirmed.remove(&zone);
                 if self.evacuated.insert(zone.clone()) {
                     let evacuated = true;
                     log.push(Decision::Zone {
@@ -276,6 +298,7 @@
         log: &mut Vec<Decision>,
     ) {
         self.evacuated.remove(&zone);
+        self.unconfirmed.remove(&zone);
         let keys: Vec<ServerKey> = self.servers.iter().map(|(key, _)| key).collect();
         for key in keys {
             let server = self.servers.get_mut(key);
@@ -294,7 +317,16 @@
 
     /// Removes what a snapshot does not contain: backend servers without an entry, and evacuations
     /// that ended.
-    fn remove_missing(&mut self, now: Time, update: &StoreUpdate, log: &mut Vec<Decision>) {
+    ///
+    /// A store that was `restored` may only have lost them. Then evacuations stay until operators had
+    /// the time to write them again, and so do servers that are about to leave.
+    fn remove_missing(
+        &mut self,
+        now: Time,
+        update: &StoreUpdate,
+        restored: bool,
+        log: &mut Vec<Decision>,
+    ) {
         let mut present = HashSet::new();
         let mut evacuated = HashSet::new();
         for change in &update.changes {
@@ -308,14 +340,34 @@
                 Change::Routes(_) | Change::ServerRemoved(_) | Change::ZoneRestored(_) => {}
             }
         }
-        let missing = self.servers.iter().map(|(_, server)| server.id.clone());
-        let missing: Vec<_> = missing.filter(|id| !present.contains(id)).collect();
+        let missing = self.servers.iter().filter(|(_, server)| {
+            let keeps = restored && server.registration == Registration::Draining;
+            !keeps && !present.contains(&server.id)
+        });
+        let missing: Vec<_> = missing.map(|(_, server)| server.id.clone()).collect();
         for id in missing {
             self.remove_server(now, &id, update.revision, log);
         }
-        let restored: Vec<_> = self.evacuated.difference(&evacuated).cloned().collect();
-        for zone in restored {
-            self.restore_zone(now, zone, update.revision, log);
+        let ended: Vec<_> = self.evacuated.difference(&evacuated).cloned().collect();
+        if restored {
+            self.unconfirmed.extend(ended);
+            return;
+        }
+        for zone in ended {
+            if !self.unconfirmed.contains(&zone) {
+                self.restore_zone(now, zone, update.revision, log);
+            }
+        }
+    }
+
+    /// Ends evacuations that a restored store has lost, once operators had the time to write them
+    /// again.
+    fn end_unconfirmed(&mut self, now: Time, settings: &Settings, log: &mut Vec<Decision>) {
+        if !self.is_settled(now, settings) {
+            return;
+        }
+        for zone in std::mem::take(&mut self.unconfirmed) {
+            self.restore_zone(now, zone, self.revision, log);
         }
     }
 
@@ -331,6 +383,7 @@
     /// Marks backend servers as removed whose entries expired and did not return in time, and
     /// forgets those removed for longer than [`RETENTION`].
     pub(super) fn sweep(&mut self, now: Time, settings: &Settings, log: &mut Vec<Decision>) {
+        self.end_unconfirmed(now, settings, log);
         let all: Vec<_> = self
             .servers
             .iter()
--- a/decisions/tests/dsr/main.rs
+++ b/decisions/tests/dsr/main.rs
@@ -4,6 +4,7 @@
 mod fresh_start;
 mod freshness;
 mod mass_restart;
+mod restored_store;
 mod rig;
 mod server_loss;
 mod shutdown;
--- a/decisions/tests/dsr/rig.rs
+++ b/decisions/tests/dsr/rig.rs
@@ -36,6 +36,7 @@
 use lovagespindle_decisions::dsr::settings::Settings;
 use lovagespindle_decisions::dsr::store_update::{
     Change,
+    EntryVersion,
     Revision,
     Revisioned,
     ServerEntry,
@@ -67,6 +68,7 @@
 
 pub(crate) fn entry(number: u64, zone: &str) -> ServerEntry {
     ServerEntry {
+        version: EntryVersion::default(),
         service: "desk".into(),
         identity: number,
         address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number as u8), 8080),
@@ -98,6 +100,8 @@
     balancer: Balancer,
     now: Time,
     revision: u64,
+    /// Number of times that the store was restored.
+    era: u64,
     port: u16,
     unresponsive: Vec<u64>,
     /// Backend servers that do not listen: they reset the flow, and its client gives up.
@@ -118,6 +122,7 @@
             balancer: Balancer::new("a", Settings::default(), 1),
             now: Time::from_millis(1_000),
             revision: 0,
+            era: 0,
             port: 1_000,
             unresponsive: Vec::new(),
             refusing: Vec::new(),
@@ -145,8 +150,23 @@
         self.apply_snapshot(servers, UpdateKind::Part);
     }
 
+    fn revision(&self) -> Revision {
+        Revision {
+            era: self.era,
+            number: self.revision,
+        }
+    }
+
+    /// Restores the store from a copy that has these backend servers and the first routes, and applies
+    /// its snapshot.
+    pub(crate) fn restore_store(&mut self, servers: &[(u64, &str)]) {
+        self.era += 1;
+        self.revision = 1;
+        self.apply_snapshot(servers, UpdateKind::Snapshot);
+    }
+
     fn apply_snapshot(&mut self, servers: &[(u64, &str)], kind: UpdateKind) {
-        let revision = Revision::from(self.revision);
+        let revision = self.revision();
         let servers = servers.iter().map(|(number, zone)| {
             Change::Server(format!("s{number}").into(), entry(*number, zone))
         });
@@ -211,11 +231,14 @@
 
     pub(crate) fn apply(&mut self, change: Change) {
         self.revision += 1;
-        let revision = Revision::from(self.revision);
+        let revision = self.revision();
         let update = StoreUpdate {
             changes: vec![Revisioned { revision, change }],
             revision,
-            kind: UpdateKind::Delta(Revision::from(self.revision - 1)),
+            kind: UpdateKind::Delta(Revision {
+                number: self.revision - 1,
+                ..self.revision()
+            }),
             age: Duration::ZERO,
         };
         self.balancer.apply_update(self.now, update);
@@ -223,7 +246,7 @@
 
     /// Applies an update that confirms the current revision without changes.
     pub(crate) fn confirm(&mut self) {
-        let revision = Revision::from(self.revision);
+        let revision = self.revision();
         let update = StoreUpdate {
             changes: Vec::new(),
             revision,
--- a/scenarios/src/dsr/servers.rs
+++ b/scenarios/src/dsr/servers.rs
@@ -206,6 +206,7 @@
             slots: server.slots,
             draining: server.drained.is_some(),
             warmup_left: server.warm.since(self.now),
+            sequence: self.now.since_start().as_millis() as u64,
         };
         let written = self::server(server.identity, &state);
         // The remaining time changes until the server is warm.
