--- a/daemon/src/dsr/store_watcher.rs
+++ b/daemon/src/dsr/store_watcher.rs
@@ -125,6 +125,8 @@
     /// Whether the store cannot tell the changes after the known revision: it no longer keeps them, or
     /// it was restored from a copy.
     outdated: bool,
+    /// Whether the store is called because nobody confirmed the documents.
+    asking: bool,
     /// The snapshot whose remaining pages are not read yet. A failed call does not drop it.
     snapshot: Option<Snapshot>,
     /// Whether what is needed at the start was read.
@@ -165,6 +167,7 @@
             store_use,
             connected,
             outdated: false,
+            asking: false,
             snapshot: None,
             started: false,
             calls,
@@ -186,6 +189,7 @@
 
     /// Waits until this instance has to call the store, or until the process exits.
     async fn wait_until_needed(&mut self) {
+        self.asking = false;
         loop {
             let needed = match *self.store_use.borrow_and_update() {
                 StoreUse::Start => !self.started,
@@ -204,6 +208,7 @@
                 changed = self.known.changed() => changed.is_err(),
                 () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {
                     log::info!("event=store_asked reason=\"nobody confirmed the documents\"");
+                    self.asking = true;
                     return;
                 }
             };
@@ -305,7 +310,8 @@
                 break;
             };
             let starting = *self.store_use.borrow() == StoreUse::Start;
-            if !(self.is_watching() || starting && snapshot.pages < START_PAGES) {
+            let first_pages = starting && snapshot.pages < START_PAGES;
+            if !(self.is_watching() || self.asking || first_pages) {
                 return Ok(None);
             }
             self.calls.add(StoreCall::Page);
--- a/daemon/tests/store_watcher.rs
+++ b/daemon/tests/store_watcher.rs
@@ -48,6 +48,9 @@
     /// fails: limits of the age, of patience for each hop and of waits added up to more than the 3 s
     /// in which a change must be in force.
     unconfirmed_documents_are_confirmed_by_the_store => check_unconfirmed_documents();
+    /// Guards against an instance that asks the store once and reads only the first page of many,
+    /// again and again, because another instance watches the store.
+    unconfirmed_documents_are_read_completely => check_pages();
     /// Guards against a view that is taken for confirmed later than it was, because the answer of the
     /// store was on the way for long.
     late_answers_count_as_age => check_late_answers();
@@ -92,6 +95,23 @@
     assert_eq!(confirmed, Some(UpdateKind::Delta(Revision::from(1))));
 }
 
+async fn check_pages() {
+    let store = StoreStandIn::start([127, 78, 106, 1])
+        .await
+        .expect("a store");
+    store.put_config(1, &[(SERVICE, "desk")]);
+    for number in 1..6 {
+        store.put_server(number, "desk", SERVICE, "a");
+    }
+    store.compact();
+    let mut run = Run::start_as(&store, Some(Revision::from(1)), StoreUse::None);
+    let update = run.update(BOUND).await.expect("an update");
+    assert_eq!(
+        (update.kind, update.documents.len()),
+        (UpdateKind::Snapshot, 6)
+    );
+}
+
 async fn check_late_answers() {
     let store = StoreStandIn::start([127, 78, 105, 1])
         .await
@@ -139,6 +159,16 @@
 
     /// Starts a watcher whose document cache is complete up to `known`.
     fn start_as(store: &StoreStandIn, known: Option<Revision>, store_use: StoreUse) -> Run {
+        Run::start_seeded(store, known, store_use, 1)
+    }
+
+    /// Starts a watcher whose delays are drawn from this seed.
+    fn start_seeded(
+        store: &StoreStandIn,
+        known: Option<Revision>,
+        store_use: StoreUse,
+        seed: u64,
+    ) -> Run {
         let text = format!(
             "[instance]\nname = \"a\"\nzone = \"z\"\n[listen]\nclients = \"127.0.0.1:1\"\n\
              readiness = \"127.0.0.1:2\"\npeers = \"127.0.0.1:3\"\n[store]\naddress = \"{}\"\n\
@@ -172,7 +202,7 @@
             publisher,
             connected,
             metrics,
-            1,
+            seed,
         );
         tokio::spawn(watcher.run());
         Run {
