Read a restored store without a further delay

An answer that the store was restored, or has forgotten its history, was handled as a failed call: after an outage the next call came up to 1.2 s later, on top of as much since the store's return.

The delay is now the shortest one, and the log says store_compacted or store_restored in place of store_lost.

restored_store_is_read_at_once failed before (one of eight watchers later than the longest delay of 1.2 s).

--- a/daemon/src/dsr/store_watcher.rs
+++ b/daemon/src/dsr/store_watcher.rs
@@ -219,18 +219,23 @@
     }
 
     async fn handle_failure(&mut self, error: &WatchError) {
-        if let WatchError::Store(StoreError::Restored(era)) = error {
-            log::warn!("event=store_restored era={era}");
-        }
-        self.outdated |= matches!(
-            error,
-            WatchError::Store(StoreError::Compacted | StoreError::Restored(_))
-        );
-        let reason = error.to_string();
-        if self.connected.send_replace(false) {
-            log::warn!("event=store_lost reason={reason:?}");
-        } else {
-            log::info!("event=store_retry reason={reason:?}");
+        match error {
+            WatchError::Store(StoreError::Restored(era)) => {
+                log::warn!("event=store_restored era={era}");
+                self.read_again();
+            }
+            WatchError::Store(StoreError::Compacted) => {
+                log::info!("event=store_compacted");
+                self.read_again();
+            }
+            WatchError::Store(_) | WatchError::Timeout(_) => {
+                let reason = error.to_string();
+                if self.connected.send_replace(false) {
+                    log::warn!("event=store_lost reason={reason:?}");
+                } else {
+                    log::info!("event=store_retry reason={reason:?}");
+                }
+            }
         }
         // Half of the delay is random, so that instances do not retry together.
         let random = f64::from(self.random.next_u32()) / f64::from(u32::MAX);
@@ -238,6 +243,13 @@
         self.retry_delay = (self.retry_delay * 2).min(self.settings.longest_pause);
     }
 
+    /// Lets the next call read all documents. The store answers, so there is no reason to wait for
+    /// long.
+    fn read_again(&mut self) {
+        self.outdated = true;
+        self.retry_delay = self.settings.first_pause;
+    }
+
     /// Reads a snapshot unless the known revision is still usable, then watches for changes.
     /// Returns when another instance provides the updates or the settings change, at the earliest
     /// after one call. A failed call is an error.
--- a/daemon/tests/store_watcher.rs
+++ b/daemon/tests/store_watcher.rs
@@ -32,7 +32,11 @@
     mpsc,
     watch, //
 };
-use tokio::time::timeout;
+use tokio::time::{
+    Instant,
+    sleep,
+    timeout, //
+};
 
 /// Address of the only route.
 const SERVICE: SocketAddrV4 = SocketAddrV4::new(std::net::Ipv4Addr::new(198, 18, 0, 1), 443);
@@ -51,6 +55,8 @@
     /// Guards against an instance that asks the store once and reads only the first page of many,
     /// again and again, because another instance watches the store.
     unconfirmed_documents_are_read_completely => check_pages();
+    /// Guards against a further retry delay after the store has answered that it was restored.
+    restored_store_is_read_at_once => check_restored_store();
     /// Guards against a view that is taken for confirmed later than it was, because the answer of the
     /// store was on the way for long.
     late_answers_count_as_age => check_late_answers();
@@ -112,6 +118,31 @@
     );
 }
 
+/// Longest retry delay, and some time for the calls.
+const LONGEST_RETRY: Duration = Duration::from_millis(1_200 + 100);
+
+async fn check_restored_store() {
+    let store = StoreStandIn::start([127, 78, 107, 1])
+        .await
+        .expect("a store");
+    let copy = store.copy();
+    store.put_config(1, &[(SERVICE, "desk")]);
+    store.set_fault(Fault::Down);
+    // The delays are random.
+    let known = Some(Revision::from(1));
+    let start = |seed| Run::start_seeded(&store, known, StoreUse::Watch, seed);
+    let mut runs: Vec<_> = (1..=8).map(start).collect();
+    sleep(Duration::from_secs(4)).await;
+    store.restore(copy);
+    store.put_config(2, &[(SERVICE, "desk")]);
+    store.set_fault(Fault::None);
+    let deadline = Instant::now() + LONGEST_RETRY;
+    for run in &mut runs {
+        let rest = deadline.saturating_duration_since(Instant::now());
+        assert_eq!(run.next_update(rest).await, Some(UpdateKind::Snapshot));
+    }
+}
+
 async fn check_late_answers() {
     let store = StoreStandIn::start([127, 78, 105, 1])
         .await
