Keep flows of a server whose entry became invalid

An entry that another writer overwrites with one that cannot be decoded names no server for new flows. It was handled as the removal of the entry, so after half a second the open flows of a live server were reset (evidence departed).

The server now has a registration of its own, invalid: no new flows, open ones go on, and the removal of the entry counts as leaving.

flows_of_a_server_with_an_invalid_entry_are_kept failed before (one reset).

--- a/decisions/src/dsr/placement.rs
+++ b/decisions/src/dsr/placement.rs
@@ -69,7 +69,9 @@
         let base = match server.registration {
             Registration::Ready => Tier::Normal,
             Registration::Expired(_) => Tier::Degraded,
-            Registration::Draining | Registration::Removed(_) => return None,
+            Registration::Draining | Registration::Invalid | Registration::Removed(_) => {
+                return None;
+            }
         };
         let own = match server.health.state(self.now) {
             HealthState::Healthy => base,
--- a/decisions/src/dsr/servers.rs
+++ b/decisions/src/dsr/servers.rs
@@ -31,6 +31,8 @@
     Ready,
     /// The entry says that the server is about to leave.
     Draining,
+    /// The entry is invalid. The server gets no new flows, but it may be alive.
+    Invalid,
     /// The entry was removed at this time, although the server was not draining.
     #[strum(serialize = "lapsed")]
     Expired(Time),
--- a/decisions/src/dsr/store_view.rs
+++ b/decisions/src/dsr/store_view.rs
@@ -161,7 +161,7 @@
                     reason,
                 });
                 if let Some(key) = self.servers.find(&id) {
-                    self.set_registration(now, key, Registration::Removed(now), revision, log);
+                    self.set_registration(now, key, Registration::Invalid, revision, log);
                 }
             }
             Change::ZoneEvacuated(zone) => {
@@ -257,7 +257,7 @@
         }
         let registration = match server.registration {
             Registration::Ready => Registration::Expired(now),
-            Registration::Draining => Registration::Removed(now),
+            Registration::Draining | Registration::Invalid => Registration::Removed(now),
             Registration::Expired(_) | Registration::Removed(_) => return,
         };
         self.set_registration(now, key, registration, revision, log);
--- a/decisions/tests/dsr/server_loss.rs
+++ b/decisions/tests/dsr/server_loss.rs
@@ -179,6 +179,21 @@
         assert_eq!(rig.resets(), [(flow, 1)]);
     }
 
+    /// Guards against resets of flows of a live server whose entry another writer has overwritten
+    /// with one that is invalid.
+    flows_of_a_server_with_an_invalid_entry_are_kept => {
+        let mut rig = Rig::new();
+        rig.serve_only(&[(1, "a")]);
+        let (_, target) = rig.open_long_flow();
+        rig.confirm_for(ms(3_000));
+        rig.apply(Change::ServerInvalid("s1".into(), "odd".to_owned()));
+        rig.confirm_for(ms(4_000));
+        assert_eq!(rig.resets(), Vec::new());
+        assert!(matches!(rig.send_data(target.tag), Verdict::Forward(_)));
+        // It gets no new flows.
+        assert!(matches!(rig.send_syn(), Verdict::Reset { .. }));
+    }
+
     /// Guards against resets of flows of live servers whose entries expired while the store was
     /// down: they write them again within about two seconds after its return.
     flows_of_a_lapsed_server_are_kept_until_it_could_return => {
