Restore the store from a copy in the emulator and the soak

In the emulator, a trouble store_restored brings back the contents of 6 s before; operators write again after 0.7 s, backend servers with their heartbeats, and entries of dead servers lapse. In the soak, a fault Restore brings back the contents from its beginning.

--- a/daemon/tests/dsr_soak/faults.rs
+++ b/daemon/tests/dsr_soak/faults.rs
@@ -11,16 +11,21 @@
 
 use lovagespindle_platform_stand_in::Fault;
 use lovagespindle_platform_stand_in::documents::delete_server;
+use rand_core::RngCore;
 use rustix::process::Signal;
 
 use super::proxy::Mode;
 use super::{
     DAEMONS,
+    FIRST_IDENTITY,
     Route,
     SERVERS,
     Soak, //
 };
 
+/// One in this many faults restores the store.
+const RESTORATION_ODDS: u32 = 12;
+
 /// A fault, with the index of the daemon or backend server. Its effect ends after a random time.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum InjectedFault {
@@ -40,6 +45,9 @@
     Store(Fault),
     /// Discards the store's history of changes.
     Compact,
+    /// Restores the store from a copy: at the end, it has the contents of the beginning, and what was
+    /// written since is written again.
+    Restore,
     /// Drains a backend server; the end restarts it under a new identity.
     Drain(usize),
     /// Makes a backend server ignore all packets.
@@ -77,6 +85,9 @@
             InjectedFault::StoreLink(n, mode) => self.proxies[n].set_mode(mode),
             InjectedFault::Store(mode) => self.fleet.store.set_fault(mode),
             InjectedFault::Compact => self.fleet.store.compact(),
+            InjectedFault::Restore if self.copy.is_none() => {
+                self.copy = Some(self.fleet.store.copy());
+            }
             InjectedFault::Drain(n) if self.servers[n].drained.is_none() => {
                 self.servers[n].drained = Some(now);
                 self.register(n);
@@ -91,6 +102,7 @@
             | InjectedFault::Pause(_)
             | InjectedFault::Terminate(_)
             | InjectedFault::Hangup(_)
+            | InjectedFault::Restore
             | InjectedFault::Drain(_) => return,
         }
         self.mark_disturbed(now, fault);
@@ -98,6 +110,14 @@
     }
 
     fn random_fault(&mut self) -> InjectedFault {
+        // Drawn apart, so that the other faults of a seed stay in their order.
+        if self
+            .restorations
+            .next_u32()
+            .is_multiple_of(RESTORATION_ODDS)
+        {
+            return InjectedFault::Restore;
+        }
         let (daemon, backend) = (self.random_below(DAEMONS), self.random_below(SERVERS));
         let modes = [Mode::Delay, Mode::Reset, Mode::NoReplies, Mode::Blocked];
         match self.random_below(14) {
@@ -125,7 +145,9 @@
             | InjectedFault::Hangup(n)
             | InjectedFault::Settings(n)
             | InjectedFault::StoreLink(n, _) => self.last_disturbed[n] = now,
-            InjectedFault::Store(_) | InjectedFault::Compact => self.store_disturbed = now,
+            InjectedFault::Store(_) | InjectedFault::Compact | InjectedFault::Restore => {
+                self.store_disturbed = now;
+            }
             InjectedFault::Drain(_)
             | InjectedFault::Silence(_)
             | InjectedFault::Restart(_)
@@ -143,6 +165,22 @@
         self.register(n);
     }
 
+    /// Restores the store, and lets operators and backend servers write again what was lost. Entries
+    /// of servers that ended are removed, as they would expire.
+    fn restore_store(&mut self) {
+        let Some(copy) = self.copy.take() else { return };
+        self.fleet.store.restore(copy);
+        self.write_routes();
+        let live: Vec<u32> = self.servers.iter().map(|server| server.identity).collect();
+        for n in 0..self.servers.len() {
+            self.register(n);
+        }
+        let ended = (FIRST_IDENTITY..=self.last_identity).filter(|n| !live.contains(n));
+        for identity in ended.collect::<Vec<_>>() {
+            self.fleet.store.write(delete_server(identity.into()));
+        }
+    }
+
     /// Adds a route and removes the one added before.
     fn change_routes(&mut self, now: Instant) {
         if let Some(last) = self.routes.iter_mut().skip(1).last() {
@@ -184,6 +222,7 @@
                     self.servers[n].last_disturbed = now;
                 }
                 InjectedFault::Drain(n) => self.restart_server(n),
+                InjectedFault::Restore => self.restore_store(),
                 InjectedFault::Pause(_)
                 | InjectedFault::Hangup(_)
                 | InjectedFault::Settings(_)
--- a/daemon/tests/dsr_soak/mod.rs
+++ b/daemon/tests/dsr_soak/mod.rs
@@ -16,6 +16,7 @@
     Instant, //
 };
 
+use lovagespindle_platform_stand_in::StoreCopy;
 use lovagespindle_platform_stand_in::documents::{
     ServerState,
     config,
@@ -61,6 +62,9 @@
     removed: Option<Instant>,
 }
 
+/// The first identity of a backend server; later ones count up.
+const FIRST_IDENTITY: u32 = 101;
+
 /// State of one run.
 pub(crate) struct Soak {
     fleet: Fleet,
@@ -72,6 +76,10 @@
     version: u64,
     /// Latest identity given to a backend server.
     last_identity: u32,
+    /// Draws which faults restore the store.
+    restorations: Pcg32,
+    /// Contents from which the store will be restored.
+    copy: Option<StoreCopy>,
     /// Number of entries that backend servers wrote.
     entries_written: u64,
     random: Pcg32,
@@ -127,7 +135,9 @@
                 removed: None,
             }],
             version: 10,
-            last_identity: 100,
+            last_identity: FIRST_IDENTITY - 1,
+            restorations: Pcg32::seed_from_u64(!seed),
+            copy: None,
             entries_written: 0,
             random: Pcg32::seed_from_u64(seed),
             in_rotation: [false; DAEMONS],
@@ -250,6 +260,10 @@
     /// Writes the routes that are not removed to the store, as a new version.
     fn put_routes(&mut self) {
         self.version += 1;
+        self.write_routes();
+    }
+
+    fn write_routes(&mut self) {
         let routes = self.routes.iter().filter(|route| route.removed.is_none());
         let routes: Vec<(SocketAddrV4, &str)> = routes.map(|r| (r.service, "desk")).collect();
         self.fleet.store.write(config(self.version, &routes));
--- a/scenarios/src/dsr/day.rs
+++ b/scenarios/src/dsr/day.rs
@@ -53,6 +53,9 @@
     StoreSlow,
     /// The store forgets its history.
     StoreCompact,
+    /// The store is down, and comes back with its contents of some seconds before. Its writers write
+    /// again what was lost.
+    StoreRestored,
     /// Links lose a thirtieth of the packets.
     Lossy,
     /// Routes are added and removed.
@@ -127,11 +130,27 @@
         }
     }
 
+    /// Draws a day as [`Day::drawn`], on which the store is also restored from a copy.
+    pub fn drawn_with_restoration(site: &Site, seed: u64) -> Day {
+        let mut day = Day::drawn(site, seed);
+        let mut dice = Dice::new(seed);
+        let end = site.length.as_secs_f64() - 16.0;
+        day.troubles.push(Trouble {
+            at: 6.0 + end * dice.unit(),
+            fault: Fault::StoreRestored,
+            lasts: 0.2 + 3.0 * dice.unit(),
+            share: part(),
+        });
+        day
+    }
+
     /// Draws a day with a few troubles, some of them at once.
     pub fn drawn(site: &Site, seed: u64) -> Day {
         use strum::IntoEnumIterator;
         let mut dice = Dice::new(!seed);
-        let faults: Vec<Fault> = Fault::iter().collect();
+        // Restorations have days of their own, so that the drawn days stay the same.
+        let faults = Fault::iter().filter(|fault| *fault != Fault::StoreRestored);
+        let faults: Vec<Fault> = faults.collect();
         let end = site.length.as_secs_f64() - 12.0;
         let mut troubles = Vec::new();
         for _ in 0..3 + dice.below(5) {
--- a/scenarios/src/dsr/faults.rs
+++ b/scenarios/src/dsr/faults.rs
@@ -32,6 +32,10 @@
 const DRAIN: Duration = Duration::from_secs(5);
 /// How long an address stays unused before another backend server gets it.
 const REUSE: Duration = Duration::from_secs(2);
+/// How old the copy is from which the store is restored.
+const COPY_AGE: Duration = Duration::from_secs(6);
+/// How long operators take to write again what the restored store has lost.
+const REWRITE: Duration = Duration::from_millis(700);
 /// The part of the packets that a lossy link loses.
 const LOSS: f64 = 0.03;
 /// How long the backend servers of a zone that comes back are cold.
@@ -107,7 +111,9 @@
             Fault::ZoneCut => self.network.cut.push(concerned.zone),
             Fault::ServerCut => self.network.no_servers.extend(&concerned.machines),
             Fault::StoreCut => self.network.no_store.extend(&concerned.machines),
-            Fault::StoreDown | Fault::StoreLapse => self.set_store(StoreState::Down),
+            Fault::StoreDown | Fault::StoreLapse | Fault::StoreRestored => {
+                self.set_store(StoreState::Down);
+            }
             Fault::StoreSilent => self.set_store(StoreState::Silent),
             Fault::StoreSlow => self.set_store(StoreState::Slow),
             Fault::StoreCompact => {
@@ -174,6 +180,12 @@
                 self.set_store(StoreState::Up);
                 self.lapse_all();
             }
+            Fault::StoreRestored => {
+                self.set_store(StoreState::Up);
+                self.store.restore(self.now - COPY_AGE);
+                self.forget_entries();
+                self.send(REWRITE, Event::Rewrite);
+            }
             Fault::Lossy => self.network.loss = 0.0,
             Fault::Evacuate if !concerned.out => {}
             Fault::Evacuate if !self.store_takes_writes() => {
--- a/scenarios/src/dsr/news.rs
+++ b/scenarios/src/dsr/news.rs
@@ -109,7 +109,7 @@
 impl World {
     /// Writes a document, and tells those who wait for changes.
     pub(super) fn write(&mut self, written: DocumentWrite) {
-        self.store.write(written);
+        self.store.write(self.now, written);
         for ask in std::mem::take(&mut self.store.waiting) {
             self.answer_from_store(ask);
         }
--- a/scenarios/src/dsr/operator.rs
+++ b/scenarios/src/dsr/operator.rs
@@ -87,6 +87,26 @@
     /// Writes the configuration.
     pub(super) fn put_config(&mut self) {
         self.operator.version += 3;
+        self.write_config();
+    }
+
+    /// Writes again what a restored store may have lost.
+    pub(super) fn rewrite(&mut self) {
+        if !self.store_takes_writes() {
+            return;
+        }
+        self.write_config();
+        for zone in 0..self.site.zones {
+            let out = evacuate_zone(&zone_name(zone));
+            match (self.operator.is_out(zone), self.store.holds(&out.key)) {
+                (true, false) => self.write(out),
+                (false, true) => self.write(restore_zone(&zone_name(zone))),
+                (true, true) | (false, false) => {}
+            }
+        }
+    }
+
+    fn write_config(&mut self) {
         let routes = self.operator.routes.iter();
         let routes = routes.filter(|route| route.removed.is_none());
         let routes: Vec<(SocketAddrV4, &str)> = routes
--- a/scenarios/src/dsr/servers.rs
+++ b/scenarios/src/dsr/servers.rs
@@ -231,6 +231,22 @@
         }
     }
 
+    /// Lets all servers write their entries with the next heartbeat, as the store has lost some. Those
+    /// of servers that are down lapse.
+    pub(super) fn forget_entries(&mut self) {
+        let now = self.now;
+        for index in 0..self.servers.len() {
+            let key = ServerKey(index);
+            let server = &mut self.servers[index];
+            if server.is_up() {
+                server.written = None;
+            } else {
+                server.written = Some(now);
+                self.send(SILENCE, Event::Lapse(key, now));
+            }
+        }
+    }
+
     /// All entries lapse; servers write theirs with the next heartbeat.
     pub(super) fn lapse_all(&mut self) {
         for index in 0..self.servers.len() {
--- a/scenarios/src/dsr/store.rs
+++ b/scenarios/src/dsr/store.rs
@@ -31,6 +31,8 @@
 pub(super) struct Store {
     documents: BTreeMap<Arc<str>, Document>,
     history: Vec<Document>,
+    /// All changes of the day, from which an earlier state is restored.
+    log: Vec<(Time, Document)>,
     floor: Revision,
     pub(super) revision: Revision,
     pub(super) state: StoreState,
@@ -42,21 +44,45 @@
 
 impl Store {
     /// Writes or removes a document.
-    pub(super) fn write(&mut self, written: DocumentWrite) {
+    pub(super) fn write(&mut self, now: Time, written: DocumentWrite) {
         self.revision.number += 1;
         let document = Document {
             key: written.key.into(),
             revision: self.revision,
             value: written.value.map(Bytes::from),
         };
+        self.log.push((now, document.clone()));
+        self.history.push(document.clone());
+        self.apply(document);
+    }
+
+    fn apply(&mut self, document: Document) {
         match document.value {
-            Some(_) => drop(
-                self.documents
-                    .insert(document.key.clone(), document.clone()),
-            ),
+            Some(_) => drop(self.documents.insert(document.key.clone(), document)),
             None => drop(self.documents.remove(&document.key)),
         }
-        self.history.push(document);
+    }
+
+    /// Restores the contents of an earlier time. Later changes are lost, and revisions are given out
+    /// again.
+    pub(super) fn restore(&mut self, at: Time) {
+        let era = self.revision.era + 1;
+        self.revision = Revision { era, number: 0 };
+        self.documents.clear();
+        let mut log = std::mem::take(&mut self.log);
+        log.retain(|(time, _)| *time <= at);
+        for (_, document) in &mut log {
+            document.revision.era = era;
+            self.revision = document.revision;
+            self.apply(document.clone());
+        }
+        self.log = log;
+        self.compact();
+    }
+
+    /// Returns whether there is a document with this key.
+    pub(super) fn holds(&self, key: &str) -> bool {
+        self.documents.contains_key(key)
     }
 
     pub(super) fn compact(&mut self) {
--- a/scenarios/src/dsr/world.rs
+++ b/scenarios/src/dsr/world.rs
@@ -94,6 +94,8 @@
     Step(usize, usize),
     Closing(bool),
     Visit,
+    /// Operators write again what a restored store has lost.
+    Rewrite,
     /// A window of the balance of backend servers ends.
     Sample,
 }
@@ -241,6 +243,7 @@
             Event::Step(index, step) => self.step_trouble(index, step),
             Event::Closing(down) => self.closing(down),
             Event::Visit => self.visit(),
+            Event::Rewrite => self.rewrite(),
             Event::Sample => self.sample_balance(),
         }
     }
--- a/scenarios/tests/dsr_days.rs
+++ b/scenarios/tests/dsr_days.rs
@@ -38,6 +38,15 @@
             }
         }
     };
+    /// Guards against a store that was restored from a copy: changes that are lost for good, and
+    /// backend servers, zones or routes that come back.
+    days_with_a_restored_store_break_no_rule => {
+        for seed in 1..=12 {
+            for site in [Site::waipuna(), Site::tsb()] {
+                play(&site, &Day::drawn_with_restoration(&site, seed), seed);
+            }
+        }
+    };
     /// Guards against decisions that fit only the deployments that were measured.
     drawn_deployments_break_no_rule => {
         for seed in 1..=12 {
