Let servers of a returned zone write again after a restoration

A zone comes back cold, and the store is restored 1.3 s later from a copy without the entries that say so. 1.5 s after the zone's return, the store has confirmed the view, and servers without a new entry counted as warm.

The 1.5 s, in which each server writes its entry, now begin with the restoration, or with the end of a long gap, if that is later; as before, they end with the longest warm-up.

--- a/decisions/src/dsr/placement.rs
+++ b/decisions/src/dsr/placement.rs
@@ -48,6 +48,8 @@
     pub(super) evacuated: &'a HashSet<Arc<str>>,
     /// Time at which the store last confirmed the view, [`Time::ZERO`] if it never did.
     pub(super) last_confirmed: Time,
+    /// Time since which the store confirms the view without a long gap or a restoration.
+    pub(super) steady_since: Time,
     /// The longest warm-up time of any service.
     pub(super) max_warmup: Duration,
     pub(super) settings: &'a Settings,
@@ -91,11 +93,13 @@
     /// Returns whether a backend server may still be warming up. Its zone was restored at
     /// `restored_at`, and its entry has not been updated since.
     ///
-    /// A server that reaches the store updates its entry within `zone_return`. If the store has not
-    /// confirmed the view after that, the server counts as cold for the longest warm-up time.
+    /// A server that reaches the store updates its entry within `zone_return`, also after a store that
+    /// was restored from a copy has lost the update. If the store has not confirmed the view after
+    /// that, the server counts as cold for the longest warm-up time.
     fn may_be_cold(&self, restored_at: Time) -> bool {
         let due = restored_at + self.settings.zone_return;
-        self.now < due || self.last_confirmed < due && self.now < restored_at + self.max_warmup
+        let updated = restored_at.max(self.steady_since) + self.settings.zone_return;
+        self.now < due || self.last_confirmed < updated && self.now < restored_at + self.max_warmup
     }
 
     /// Returns the number of active flows per slot of a backend server, multiplied by
--- a/decisions/src/dsr/store_view.rs
+++ b/decisions/src/dsr/store_view.rs
@@ -50,7 +50,7 @@
     pub(super) last_confirmed: Option<Time>,
     /// Whether the log says that the view is older than the bound.
     stale: bool,
-    /// The time since which the store has confirmed the view without a long gap.
+    /// The time since which the store has confirmed the view without a long gap or a restoration.
     steady_since: Time,
     /// Zones that were evacuated when the store was restored from a copy that does not say so.
     /// Operators write them again if they still are.
@@ -68,6 +68,12 @@
         now.since(self.last_confirmed.unwrap_or(Time::ZERO))
     }
 
+    /// Returns the time since which the store has confirmed the view without a long gap or a
+    /// restoration.
+    pub(super) fn steady_since(&self) -> Time {
+        self.steady_since
+    }
+
     /// Returns the version of the active routes, or 0 before the first ones.
     pub(super) fn version(&self) -> u64 {
         self.table.as_ref().map_or(0, |table| table.version)
--- a/decisions/src/dsr/syn.rs
+++ b/decisions/src/dsr/syn.rs
@@ -268,6 +268,7 @@
             zone: &self.zone,
             evacuated: &self.view.evacuated,
             last_confirmed: self.view.last_confirmed.unwrap_or(Time::ZERO),
+            steady_since: self.view.steady_since(),
             max_warmup: self.view.warmup(),
             settings: &self.settings,
             zone_health: &self.zone_health,
--- a/decisions/tests/dsr/restored_store.rs
+++ b/decisions/tests/dsr/restored_store.rs
@@ -114,6 +114,22 @@
         assert!(opens_at(&mut rig, 1));
     }
 
+    /// Guards against cold backend servers that count as warm: their zone came back, and the store was
+    /// restored before all of them had written that they are cold.
+    servers_of_a_restored_zone_stay_out_until_they_could_write => {
+        let all = [(1, "a"), (2, "a"), (3, "b"), (4, "b")];
+        let mut rig = Rig::new();
+        rig.serve();
+        rig.apply(Change::ZoneEvacuated("a".into()));
+        rig.apply(Change::ZoneRestored("a".into()));
+        rig.confirm_for(ms(800));
+        rig.restore_store(&all);
+        rig.confirm_for(ms(600));
+        assert!(!opens_at(&mut rig, 1) && !opens_at(&mut rig, 2));
+        rig.confirm_for(ms(3_000));
+        assert!(opens_at(&mut rig, 1) || opens_at(&mut rig, 2));
+    }
+
     /// Guards against an evacuation that ends by itself although operators wrote it again.
     evacuation_that_is_written_again_stays => {
         let mut rig = Rig::new();
--- a/scenarios/examples/days.rs
+++ b/scenarios/examples/days.rs
@@ -25,7 +25,7 @@
 
 Usage: days [--site SITE] [--day DAY]... [--seeds N] [--first SEED] [--svg FILE] [--detail]
        days --compare [--site SITE] [--day DAY] [--seeds N]
-       days --hunt N [--first SEED] [--pooled]
+       days --hunt N [--first SEED] [--pooled] [--restored]
 
   --site SITE   waipuna (default), tsb, padana, drawn:N for deployment N, or pooled:N for the same
                 with flows that clients keep
@@ -37,6 +37,7 @@
   --compare     the decisions against taking backend servers in turn, with a 95 % interval
   --hunt N      N drawn days on drawn deployments; prints the rules that were broken
   --pooled      with --hunt: clients keep their flows for later requests
+  --restored    with --hunt: on each day, the store is also restored from a copy
 
 Exit codes: 0 ok, 1 failure or a broken rule.
 ";
@@ -59,6 +60,7 @@
         return Ok(true);
     }
     let pooled = arguments.contains("--pooled");
+    let restored = arguments.contains("--restored");
     let detailed = arguments.contains("--detail");
     let compared = arguments.contains("--compare");
     let hunted: Option<u64> = arguments.opt_value_from_str("--hunt")?;
@@ -71,7 +73,7 @@
         bail!("unknown argument {other:?}; see days --help");
     }
     if let Some(count) = hunted {
-        return Ok(hunt(first..first + count, pooled));
+        return Ok(hunt(first..first + count, pooled, restored));
     }
     let site = parse_site(site.as_deref().unwrap_or("waipuna"))?;
     let days = match days.is_empty() {
@@ -255,7 +257,7 @@
 }
 
 /// Plays drawn days on drawn deployments.
-fn hunt(seeds: std::ops::Range<u64>, pooled: bool) -> bool {
+fn hunt(seeds: std::ops::Range<u64>, pooled: bool, restored: bool) -> bool {
     let mut clean = true;
     println!("| deployment | zones | instances | served | omniscient | broken rules |");
     println!("|---|---:|---:|---:|---:|---|");
@@ -264,7 +266,10 @@
             true => Site::pooled(seed),
             false => Site::drawn(seed),
         };
-        let day = Day::drawn(&site, seed);
+        let day = match restored {
+            true => Day::drawn_with_restoration(&site, seed),
+            false => Day::drawn(&site, seed),
+        };
         let [_, decisions, omniscient] = policies();
         let world = World::play(&site, &day, decisions.1, seed);
         let bound = World::play(&site, &day, omniscient.1, seed).report();
