Take back an expired entry that a restored store has again

The server need not write it again, as nothing of it changes.

An equal entry now counts where the server's entry had expired or was removed; an older one never does. expired_server_returns_with_the_copy failed before.

--- a/decisions/src/dsr/store_view.rs
+++ b/decisions/src/dsr/store_view.rs
@@ -129,16 +129,23 @@
         self.revision = self.revision.max(update.revision);
     }
 
-    /// Leaves out the entries of a restored store that are not newer than what their servers wrote
-    /// before: a server that has left, or is about to, must not be used again. The servers stay as
-    /// they are until they write their entries again.
+    /// Leaves out the entries of a restored store that are older than what their servers wrote before:
+    /// a server that has left, or is about to, must not be used again. The servers stay as they are
+    /// until they write their entries again. An entry that had expired is back as it was.
     fn skip_outdated(&self, changes: &mut Vec<Revisioned<Change>>) {
         changes.retain(|change| {
             let Change::Server(id, entry) = &change.change else {
                 return true;
             };
             let known = self.servers.find(id).and_then(|key| self.servers.get(key));
-            known.is_none_or(|known| known.entry.version < entry.version)
+            known.is_none_or(|known| match known.registration {
+                Registration::Expired(_) | Registration::Removed(_) => {
+                    entry.version >= known.entry.version
+                }
+                Registration::Ready | Registration::Draining | Registration::Invalid => {
+                    entry.version > known.entry.version
+                }
+            })
         });
     }
 
--- a/decisions/tests/dsr/restored_store.rs
+++ b/decisions/tests/dsr/restored_store.rs
@@ -70,6 +70,20 @@
         assert!(opens_at(&mut rig, 1));
     }
 
+    /// Guards against a live backend server that counts as gone: its entry had expired, is back with
+    /// the copy as it was, and so is not written again.
+    expired_server_returns_with_the_copy => {
+        for expired_for in [0, 4_000] {
+            let mut rig = Rig::new();
+            rig.serve_only(&BOTH);
+            rig.apply(Change::ServerRemoved("s1".into()));
+            rig.confirm_for(ms(expired_for));
+            rig.restore_store(&BOTH);
+            rig.confirm_for(ms(4_000));
+            assert!(opens_at(&mut rig, 1));
+        }
+    }
+
     /// Guards against a backend server that registered after the copy was made and counts as gone
     /// before it could write its entry again.
     missing_server_is_the_last_choice => {
