Let a source of an earlier era confirm nothing

Found while reading the changes for CONFIG: an update of an earlier era, as from an instance that has not noticed the restoration, or one of a build without eras, had its changes left out, but moved the time of the last confirmation. An instance that follows such a source would take its view for recent without ever getting a change.

Such an update is now ignored as a whole, so that the instance asks the store itself after half of the bound. source_of_an_earlier_era_confirms_nothing of restored_store.rs failed before (age 0 in place of 1 s).

--- a/decisions/src/dsr/document_cache.rs
+++ b/decisions/src/dsr/document_cache.rs
@@ -66,7 +66,13 @@
 
     /// Applies an update. A part of a snapshot is ignored. A delta that starts after the known revision is ignored, because changes
     /// in between would be lost.
+    ///
+    /// So is an update of an earlier era of the store: its changes do not count any more, and a source
+    /// that has only those confirms nothing.
     pub fn apply(&mut self, now: Time, update: &DocumentUpdate) {
+        if update.revision.era < self.revision.era {
+            return;
+        }
         match update.kind {
             UpdateKind::Delta(base) if base > self.revision => return,
             UpdateKind::Part => return,
--- a/decisions/src/dsr/store_view.rs
+++ b/decisions/src/dsr/store_view.rs
@@ -99,7 +99,12 @@
 
     /// Applies an update. The view is complete up to its revision, so older changes are skipped,
     /// and a delta that starts after it is ignored, because changes in between would be lost.
+    ///
+    /// An update of an earlier era of the store is ignored, and confirms nothing.
     pub(super) fn apply(&mut self, now: Time, mut update: StoreUpdate, log: &mut Vec<Decision>) {
+        if update.revision.era < self.revision.era {
+            return;
+        }
         let restored = self.is_complete() && update.revision.era > self.revision.era;
         match update.kind {
             UpdateKind::Delta(base) if base > self.revision => return,
--- a/decisions/tests/dsr/restored_store.rs
+++ b/decisions/tests/dsr/restored_store.rs
@@ -155,6 +155,17 @@
         assert!(!opens_at(&mut rig, 1));
     }
 
+    /// Guards against a view that counts as confirmed by a source of an earlier era, whose changes are
+    /// left out.
+    source_of_an_earlier_era_confirms_nothing => {
+        let mut rig = Rig::new();
+        rig.serve_only(&BOTH);
+        rig.restore_store(&BOTH);
+        rig.advance(ms(1_000));
+        rig.confirm_earlier_era();
+        assert_eq!(rig.view_age(), ms(1_000));
+    }
+
     /// Guards against routes that come back older, and against later ones that are not applied.
     routes_do_not_go_back => {
         let mut rig = Rig::new();
--- a/decisions/tests/dsr/rig.rs
+++ b/decisions/tests/dsr/rig.rs
@@ -256,6 +256,22 @@
         self.balancer.apply_update(self.now, update);
     }
 
+    /// Applies an update of the store before it was restored, with many changes since.
+    pub(crate) fn confirm_earlier_era(&mut self) {
+        let revision = Revision::from(1_000);
+        let update = StoreUpdate {
+            changes: Vec::new(),
+            revision,
+            kind: UpdateKind::Snapshot,
+            age: Duration::ZERO,
+        };
+        self.balancer.apply_update(self.now, update);
+    }
+
+    pub(crate) fn view_age(&self) -> Duration {
+        self.balancer.view_age(self.now)
+    }
+
     /// Advances the time while the store confirms the current revision twice a second.
     pub(crate) fn confirm_for(&mut self, duration: Duration) {
         let end = self.now + duration;
--- a/decisions/tests/dsr_document_cache.rs
+++ b/decisions/tests/dsr_document_cache.rs
@@ -96,6 +96,18 @@
         assert_eq!(update_since(&cache, 0).1, ["held".to_owned()]);
     }
 
+    /// Guards against a source of an earlier era whose answers count as confirmations, although its
+    /// changes are left out.
+    source_of_an_earlier_era_confirms_nothing => {
+        let at = Revision { era: 1, number: 3 };
+        let mut cache = cache(&[DocumentUpdate { revision: at, ..update(&[], 3, UpdateKind::Snapshot) }]);
+        let later = NOW + Duration::from_secs(1);
+        for kind in [UpdateKind::Delta(Revision::from(9)), UpdateKind::Snapshot] {
+            cache.apply(later, &update(&[document("late", 10, true)], 10, kind));
+        }
+        assert_eq!(cache.known(), Some(Known { revision: at, confirmed: NOW }));
+    }
+
     /// Guards against updates that repeat what the requester already knows.
     update_contains_only_newer_changes => {
         let cache = cache(&[
