--- a/daemon/tests/dsr.rs
+++ b/daemon/tests/dsr.rs
@@ -14,8 +14,8 @@
 };
 use lovagespindle_platform_stand_in::Fault;
 use lovagespindle_platform_stand_in::documents::{
-    DocumentWrite,
     evacuate_zone,
+    odd_entries,
     restore_zone, //
 };
 use rustix::process::Signal;
@@ -183,15 +183,8 @@
         let first = fleet.start_daemon(&[]).await;
         let second = fleet.start_daemon(&[first]).await;
         fleet.wait_for_line(&[first, second], "event=leader_followed").await;
-        let deep = "[".repeat(400_000);
-        let numbers = "{\"Service\":\"desk\",\"Address\":\"10.0.0.1:99999\",\"Zone\":\"a\",\
-            \"Version\":\"v1\",\"Concurrency\":1e999,\"State\":\"ready\",\"WarmupLeftMs\":1e400,\
-            \"Sequence\":99999999999999999999999,\"born\":-1}";
-        let name = "x".repeat(400_000);
-        let texts = [deep.as_str(), numbers, "\u{0}\u{fffd}", "", &format!("{{\"State\":\"{name}\"}}")];
-        for (number, text) in texts.into_iter().enumerate() {
-            let key = format!("servers/odd {number}\nevent=forged");
-            fleet.store.write(DocumentWrite { key, value: Some(text.to_owned()) });
+        for entry in odd_entries() {
+            fleet.store.write(entry);
         }
         let third = fleet.start_daemon(&[first, second]).await;
         fleet.put_config(2);
